--- /dev/null
+++ b/fulmarrouter/consensus.py
@@ -0,0 +1,769 @@
+"""Replica of the replicated log: election, replication, membership, reads.
+
+The algorithm is Raft with pre-vote, quorum checks and confirmed reads. It is
+a pure state machine: time and randomness are arguments, and what is to be
+written or sent is collected until the caller takes it. The caller must sync
+what `take_output` returns before it sends the messages in `after_sync`.
+"""
+
+import dataclasses
+import enum
+import random
+
+import msgspec
+
+from fulmarrouter import messages
+from fulmarrouter import raft_log
+
+MAX_APPEND_ENTRIES = 512
+MAX_APPEND_BYTES = 1 << 20
+SNAPSHOT_CHUNK_BYTES = 1 << 19
+MAX_IN_FLIGHT_ENTRIES = 8192
+RETAINED_ENTRIES = 4096
+
+
+class Role(enum.Enum):
+    """Role of a replica."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Timeouts of a replica, in seconds."""
+
+    heartbeat: float = 0.1
+    election_min: float = 1.0
+    election_max: float = 2.0
+
+
+class HardState(msgspec.Struct, frozen=True, array_like=True):
+    """What a replica must remember of its votes."""
+
+    term: int = 0
+    voted_for: str = ""
+
+
+class Saved(msgspec.Struct, frozen=True):
+    """What a replica finds on its disk when it starts."""
+
+    hard_state: HardState
+    snapshot: raft_log.SnapshotData
+    entries: tuple[messages.Entry, ...]
+
+
+class Outbound(msgspec.Struct, frozen=True):
+    """A message and the keeper that it goes to."""
+
+    to: str
+    message: messages.AnyMessage
+
+
+class Output(msgspec.Struct):
+    """Effects that a replica asks for.
+
+    Attributes:
+        installed: Snapshot received from a leader, to be stored first.
+        hard_state: New term and vote, if changed.
+        entries: Entries to be stored; the first replaces all from its index.
+        before_sync: Messages that may be sent at once.
+        after_sync: Messages that may be sent only after all is synced.
+    """
+
+    installed: raft_log.SnapshotData | None = None
+    hard_state: HardState | None = None
+    entries: list[messages.Entry] = msgspec.field(default_factory=list)
+    before_sync: list[Outbound] = msgspec.field(default_factory=list)
+    after_sync: list[Outbound] = msgspec.field(default_factory=list)
+
+    @property
+    def needs_sync(self) -> bool:
+        """Whether anything has to reach the disk."""
+        return bool(
+            self.entries
+            or self.hard_state is not None
+            or self.installed is not None
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerStatus:
+    """A peer as its leader sees it; silence in seconds."""
+
+    match_index: int
+    silent_for: float
+
+
+@dataclasses.dataclass
+class _Progress:
+    """What a leader knows of one peer."""
+
+    next_index: int
+    match_index: int = 0
+    acked_at: float = 0.0
+    acked_round: int = 0
+    snapshot_index: int = 0
+    snapshot_offset: int = 0
+
+
+class Replica:
+    """One keeper's copy of the replicated log."""
+
+    def __init__(
+        self,
+        keeper: str,
+        saved: Saved,
+        timing: Timing,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.keeper = keeper
+        self.timing = timing
+        self.term = saved.hard_state.term
+        self.voted_for = saved.hard_state.voted_for
+        self.log = raft_log.RaftLog(saved.snapshot, saved.entries)
+        self.membership, self._membership_index = self.log.membership_at_end()
+        self.commit_index = saved.snapshot.last_index
+        self.applied_index = saved.snapshot.last_index
+        self.role = Role.FOLLOWER
+        self.leader: str = ""
+        self.blank_voters: set[str] = set()
+        self._durable_index = self.log.last_index
+        self._rng = rng
+        self._leader_seen_at = float("-inf")
+        self._election_due = now + self._election_timeout()
+        self._heartbeat_due = now
+        self._votes: dict[str, bool] = {}
+        self._progress: dict[str, _Progress] = {}
+        self._round = 0
+        self._elected_index = 0
+        self._incoming: list[bytes] = []
+        self._incoming_index = 0
+        self._output = Output()
+
+    # Public operations.
+
+    @property
+    def is_blank(self) -> bool:
+        """Whether this replica has neither log nor membership."""
+        return self.log.last_index == 0 and not self.membership.voters
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads its term."""
+        return self.role is Role.LEADER
+
+    @property
+    def leads_with_committed_entry(self) -> bool:
+        """Whether an entry of this leader's own term is committed."""
+        return self.is_leader and self.commit_index >= self._elected_index
+
+    def next_deadline(self) -> float:
+        """Returns the time at which `tick` has something to do."""
+        if self.is_leader:
+            return self._heartbeat_due
+        return self._election_due
+
+    def tick(self, now: float) -> None:
+        """Acts on timeouts that have passed."""
+        if self.is_leader:
+            self._tick_leader(now)
+            return
+        if now < self._election_due:
+            return
+        self._election_due = now + self._election_timeout()
+        if self.membership.votes(self.keeper):
+            self._start_campaign(now, pre=True)
+
+    def step(
+        self, now: float, sender: str, message: messages.AnyMessage
+    ) -> None:
+        """Handles a message of another keeper."""
+        if self._ignores_term_of(message):
+            self._step_current(now, sender, message)
+            return
+        if message.term > self.term:
+            self._follow(now, message.term, "")
+        self._step_current(now, sender, message)
+
+    def propose(self, data: bytes) -> int | None:
+        """Appends a command; returns its index, or None if not the leader."""
+        if not self.is_leader:
+            return None
+        return self._append_own(messages.EntryKind.COMMAND, data)
+
+    def propose_membership(
+        self, now: float, membership: messages.Membership
+    ) -> int | None:
+        """Appends a membership that differs by one keeper.
+
+        Returns None while this isn't the leader, an earlier change is not yet
+        committed, or the leader has committed nothing in its own term.
+        """
+        if not self.leads_with_committed_entry:
+            return None
+        if self._membership_index > self.commit_index:
+            return None
+        data = msgspec.msgpack.encode(membership)
+        index = self._append_own(messages.EntryKind.MEMBERS, data)
+        self._set_membership(membership, index)
+        self._sync_progress(now)
+        return index
+
+    def begin_read(self) -> int | None:
+        """Starts a confirmation of leadership; returns its round."""
+        if not self.leads_with_committed_entry:
+            return None
+        self._round += 1
+        self._heartbeat_due = float("-inf")
+        return self._round
+
+    def read_confirmed(self, read_round: int) -> bool:
+        """Tells whether a majority has answered the round or a later one."""
+        return self.is_leader and self._quorum_round() >= read_round
+
+    def is_caught_up(self, keeper: str) -> bool:
+        """Tells whether a peer holds all that is committed."""
+        progress = self._progress.get(keeper)
+        return (
+            progress is not None and progress.match_index >= self.commit_index
+        )
+
+    def peer_status(self, now: float, keeper: str) -> PeerStatus:
+        """Returns what the leader knows of a keeper, itself included."""
+        if keeper == self.keeper:
+            return PeerStatus(self._durable_index, 0.0)
+        progress = self._progress.get(keeper)
+        if progress is None:
+            return PeerStatus(0, 0.0)
+        return PeerStatus(progress.match_index, now - progress.acked_at)
+
+    def transfer_leadership(self) -> None:
+        """Asks the most advanced voter to campaign at once."""
+        if not self.is_leader:
+            return
+        peers = [
+            (self._progress[member.keeper].match_index, member.keeper)
+            for member in self.membership.voters
+            if member.keeper != self.keeper
+        ]
+        if not peers:
+            return
+        _, target = max(peers)
+        self._send(target, messages.TransferLeadership(term=self.term))
+
+    def flush(self, now: float) -> None:
+        """Sends entries and heartbeats that are due to the peers."""
+        if not self.is_leader:
+            return
+        is_due = now >= self._heartbeat_due
+        if is_due:
+            self._heartbeat_due = now + self.timing.heartbeat
+        for peer in sorted(self._progress):
+            self._send_append(peer, even_if_empty=is_due)
+
+    def take_output(self) -> Output:
+        """Returns the effects collected so far and forgets them."""
+        output = self._output
+        self._output = Output()
+        return output
+
+    def mark_durable(self) -> None:
+        """Notes that all output taken so far has been synced."""
+        self._durable_index = self.log.last_index
+        self._advance_commit()
+
+    def take_committed(self) -> list[messages.Entry]:
+        """Returns the committed entries not yet handed out."""
+        entries = self.log.range(self.applied_index + 1, self.commit_index)
+        self.applied_index = self.commit_index
+        return entries
+
+    def compact(self, data: bytes) -> raft_log.SnapshotData:
+        """Drops the applied prefix; `data` is the state at `applied_index`."""
+        term = self.log.term_at(self.applied_index)
+        assert term is not None
+        snapshot = raft_log.SnapshotData(
+            self.applied_index,
+            term,
+            self.log.membership_at(self.applied_index),
+            data,
+        )
+        self.log.compact(snapshot, RETAINED_ENTRIES)
+        return snapshot
+
+    # Elections.
+
+    def _election_timeout(self) -> float:
+        return self._rng.uniform(
+            self.timing.election_min, self.timing.election_max
+        )
+
+    def _ignores_term_of(self, message: messages.AnyMessage) -> bool:
+        """Pre-votes carry a term that nobody has entered yet."""
+        if isinstance(message, messages.VoteRequest):
+            return message.pre
+        if isinstance(message, messages.VoteReply):
+            return message.pre and message.granted
+        return False
+
+    def _start_campaign(self, now: float, pre: bool) -> None:
+        self.leader = ""
+        self._votes = {self.keeper: True}
+        if pre:
+            self.role = Role.PRE_CANDIDATE
+        else:
+            self.role = Role.CANDIDATE
+            self._set_hard_state(self.term + 1, self.keeper)
+        request = messages.VoteRequest(
+            term=self.term + 1 if pre else self.term,
+            last_index=self.log.last_index,
+            last_term=self.log.last_term,
+            pre=pre,
+        )
+        for member in self.membership.voters:
+            if member.keeper != self.keeper:
+                self._send(member.keeper, request)
+        self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        granted = sum(
+            1
+            for member in self.membership.voters
+            if self._votes.get(member.keeper, False)
+        )
+        if granted < self.membership.quorum:
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._start_campaign(now, pre=False)
+        elif self.role is Role.CANDIDATE:
+            self._lead(now)
+
+    def _lead(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader = self.keeper
+        self._progress = {}
+        self.blank_voters = set()
+        self._sync_progress(now)
+        self._heartbeat_due = now
+        self._elected_index = self.log.last_index + 1
+
+    def _follow(self, now: float, term: int, leader: str) -> None:
+        if term > self.term:
+            self._set_hard_state(term, "")
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._progress = {}
+        self._election_due = now + self._election_timeout()
+
+    def _hears_leader(self, now: float) -> bool:
+        """Whether a leader is known to be active, which blocks elections."""
+        if self.is_leader:
+            return True
+        return now - self._leader_seen_at < self.timing.election_min
+
+    def _on_vote_request(
+        self, now: float, sender: str, message: messages.VoteRequest
+    ) -> None:
+        is_current = (message.last_term, message.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        if message.pre:
+            granted = (
+                is_current
+                and not self.is_blank
+                and message.term > self.term
+                and not self._hears_leader(now)
+            )
+            term = message.term if granted else self.term
+            self._send(
+                sender, messages.VoteReply(term=term, granted=granted, pre=True)
+            )
+            return
+        granted = (
+            message.term == self.term
+            and is_current
+            and not self.is_blank
+            and self.voted_for in ("", sender)
+            and not self.is_leader
+        )
+        if granted and not self.voted_for:
+            self._set_hard_state(self.term, sender)
+        if granted:
+            self._election_due = now + self._election_timeout()
+        self._send(
+            sender,
+            messages.VoteReply(term=self.term, granted=granted, pre=False),
+        )
+
+    def _on_vote_reply(
+        self, now: float, sender: str, message: messages.VoteReply
+    ) -> None:
+        expected = Role.PRE_CANDIDATE if message.pre else Role.CANDIDATE
+        if self.role is not expected:
+            return
+        wanted_term = self.term + 1 if message.pre else self.term
+        if message.granted and message.term == wanted_term:
+            self._votes[sender] = True
+            self._count_votes(now)
+
+    # Leader.
+
+    def _tick_leader(self, now: float) -> None:
+        active = 1 if self.membership.votes(self.keeper) else 0
+        for member in self.membership.voters:
+            progress = self._progress.get(member.keeper)
+            if progress and now - progress.acked_at < self.timing.election_max:
+                active += 1
+        if active < self.membership.quorum:
+            self._follow(now, self.term, "")
+            return
+        self.flush(now)
+
+    def _sync_progress(self, now: float) -> None:
+        peers = {
+            member.keeper
+            for member in self.membership.all_keepers()
+            if member.keeper != self.keeper
+        }
+        self._progress = {
+            peer: self._progress.get(
+                peer,
+                _Progress(next_index=self.log.last_index + 1, acked_at=now),
+            )
+            for peer in sorted(peers)
+        }
+
+    def _append_own(self, kind: messages.EntryKind, data: bytes) -> int:
+        entry = messages.Entry(self.log.last_index + 1, self.term, kind, data)
+        self.log.append(entry)
+        self._output.entries.append(entry)
+        return entry.index
+
+    def _set_membership(
+        self, membership: messages.Membership, index: int
+    ) -> None:
+        self.membership = membership
+        self._membership_index = index
+
+    def _send_append(self, peer: str, even_if_empty: bool) -> None:
+        progress = self._progress[peer]
+        if progress.snapshot_index:
+            if even_if_empty:
+                self._send_snapshot_chunk(peer, progress)
+            return
+        prev_term = self.log.term_at(progress.next_index - 1)
+        if prev_term is None:
+            progress.snapshot_index = self.log.snapshot.last_index
+            progress.snapshot_offset = 0
+            self._send_snapshot_chunk(peer, progress)
+            return
+        entries: tuple[messages.Entry, ...] = ()
+        if progress.next_index - progress.match_index <= MAX_IN_FLIGHT_ENTRIES:
+            entries = self.log.slice(
+                progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES
+            )
+        if not entries and not even_if_empty:
+            return
+        self._send(
+            peer,
+            messages.Append(
+                term=self.term,
+                prev_index=progress.next_index - 1,
+                prev_term=prev_term,
+                commit=self.commit_index,
+                round=self._round,
+                entries=entries,
+            ),
+        )
+        progress.next_index += len(entries)
+
+    def _send_snapshot_chunk(self, peer: str, progress: _Progress) -> None:
+        snapshot = self.log.snapshot
+        if progress.snapshot_index != snapshot.last_index:
+            progress.snapshot_index = snapshot.last_index
+            progress.snapshot_offset = 0
+        end = progress.snapshot_offset + SNAPSHOT_CHUNK_BYTES
+        self._send(
+            peer,
+            messages.SnapshotChunk(
+                term=self.term,
+                last_index=snapshot.last_index,
+                last_term=snapshot.last_term,
+                membership=snapshot.membership,
+                offset=progress.snapshot_offset,
+                data=snapshot.data[progress.snapshot_offset : end],
+                to_learner=self.membership.learns(peer),
+                done=end >= len(snapshot.data),
+                round=self._round,
+            ),
+        )
+
+    def _on_append_reply(
+        self, now: float, sender: str, message: messages.AppendReply
+    ) -> None:
+        if message.blank and not self.membership.learns(sender):
+            # A voter without its log has forgotten its votes: it stays out.
+            self.blank_voters.add(sender)
+            return
+        progress = self._acknowledged(now, sender, message.term, message.round)
+        if progress is None:
+            return
+        if message.success:
+            progress.match_index = max(
+                progress.match_index, message.match_index
+            )
+            progress.next_index = max(
+                progress.next_index, progress.match_index + 1
+            )
+            self._advance_commit()
+            self._send_append(sender, even_if_empty=False)
+            return
+        progress.next_index = max(
+            progress.match_index + 1,
+            min(progress.next_index - 1, message.match_index + 1),
+        )
+        self._send_append(sender, even_if_empty=True)
+
+    def _on_snapshot_reply(
+        self, now: float, sender: str, message: messages.SnapshotReply
+    ) -> None:
+        progress = self._acknowledged(now, sender, message.term, message.round)
+        if progress is None or message.last_index != progress.snapshot_index:
+            return
+        if not message.done:
+            progress.snapshot_offset = message.offset
+            self._send_snapshot_chunk(sender, progress)
+            return
+        progress.snapshot_index = 0
+        progress.match_index = max(progress.match_index, message.last_index)
+        progress.next_index = progress.match_index + 1
+        self._send_append(sender, even_if_empty=True)
+
+    def _acknowledged(
+        self, now: float, sender: str, term: int, answered_round: int
+    ) -> _Progress | None:
+        if not self.is_leader or term != self.term:
+            return None
+        progress = self._progress.get(sender)
+        if progress is None:
+            return None
+        progress.acked_at = now
+        progress.acked_round = max(progress.acked_round, answered_round)
+        return progress
+
+    def _quorum_value(self, own: int, by_peer: dict[str, int]) -> int:
+        """Returns the highest value that a majority of voters has reached."""
+        values = sorted(
+            (
+                own
+                if member.keeper == self.keeper
+                else by_peer.get(member.keeper, 0)
+                for member in self.membership.voters
+            ),
+            reverse=True,
+        )
+        return values[self.membership.quorum - 1] if values else 0
+
+    def _quorum_round(self) -> int:
+        return self._quorum_value(
+            self._round,
+            {peer: item.acked_round for peer, item in self._progress.items()},
+        )
+
+    def _advance_commit(self) -> None:
+        if not self.is_leader:
+            return
+        index = self._quorum_value(
+            self._durable_index,
+            {peer: item.match_index for peer, item in self._progress.items()},
+        )
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self.commit_index = index
+            # A follower learns of the commit with the next heartbeat.
+            removed = not self.membership.votes(self.keeper)
+            if removed and self._membership_index <= index:
+                self.role = Role.FOLLOWER
+                self.leader = ""
+
+    # Follower.
+
+    def _step_current(
+        self, now: float, sender: str, message: messages.AnyMessage
+    ) -> None:
+        match message:
+            case messages.VoteRequest():
+                self._on_vote_request(now, sender, message)
+            case messages.VoteReply():
+                self._on_vote_reply(now, sender, message)
+            case messages.Append():
+                self._on_append(now, sender, message)
+            case messages.AppendReply():
+                self._on_append_reply(now, sender, message)
+            case messages.SnapshotChunk():
+                self._on_snapshot_chunk(now, sender, message)
+            case messages.SnapshotReply():
+                self._on_snapshot_reply(now, sender, message)
+            case messages.TransferLeadership():
+                is_voter = self.membership.votes(self.keeper)
+                if (
+                    message.term == self.term
+                    and is_voter
+                    and not self.is_leader
+                ):
+                    self._start_campaign(now, pre=False)
+
+    def _accept_leader(self, now: float, sender: str) -> None:
+        self._leader_seen_at = now
+        if self.role is not Role.FOLLOWER or self.leader != sender:
+            self._follow(now, self.term, sender)
+        self._election_due = now + self._election_timeout()
+
+    def _append_reply(
+        self, message: messages.Append, success: bool, match_index: int
+    ) -> messages.AppendReply:
+        return messages.AppendReply(
+            term=self.term,
+            success=success,
+            match_index=match_index,
+            round=message.round,
+            blank=self.is_blank,
+        )
+
+    def _on_append(
+        self, now: float, sender: str, message: messages.Append
+    ) -> None:
+        if message.term < self.term:
+            self._send(sender, self._append_reply(message, False, 0))
+            return
+        self._accept_leader(now, sender)
+        if self.log.base_index > message.prev_index:
+            # All up to the snapshot is committed, so it agrees.
+            self._send(
+                sender, self._append_reply(message, True, self.log.base_index)
+            )
+            return
+        if self.is_blank or (
+            self.log.term_at(message.prev_index) != message.prev_term
+        ):
+            hint = min(self.log.last_index, message.prev_index - 1)
+            self._send(sender, self._append_reply(message, False, max(hint, 0)))
+            return
+        self._store_entries(message.entries)
+        last_agreed = message.prev_index + len(message.entries)
+        commit = min(message.commit, last_agreed)
+        self.commit_index = max(self.commit_index, commit)
+        self._send(sender, self._append_reply(message, True, last_agreed))
+
+    def _store_entries(self, entries: tuple[messages.Entry, ...]) -> None:
+        for entry in entries:
+            known_term = self.log.term_at(entry.index)
+            if known_term == entry.term:
+                continue
+            if known_term is not None:
+                assert entry.index > self.commit_index, (
+                    "committed entry replaced"
+                )
+                self.log.truncate_from(entry.index)
+                self._output.entries = [
+                    kept
+                    for kept in self._output.entries
+                    if kept.index < entry.index
+                ]
+                membership, index = self.log.membership_at_end()
+                self._set_membership(membership, index)
+            self.log.append(entry)
+            self._output.entries.append(entry)
+            if entry.kind is messages.EntryKind.MEMBERS:
+                membership = msgspec.msgpack.decode(
+                    entry.data, type=messages.Membership
+                )
+                self._set_membership(membership, entry.index)
+
+    def _on_snapshot_chunk(
+        self, now: float, sender: str, message: messages.SnapshotChunk
+    ) -> None:
+        if message.term < self.term:
+            return
+        self._accept_leader(now, sender)
+        if self.is_blank and not message.to_learner:
+            self._send(
+                sender,
+                messages.AppendReply(
+                    term=self.term,
+                    success=False,
+                    match_index=0,
+                    round=message.round,
+                    blank=True,
+                ),
+            )
+            return
+        if message.last_index <= self.commit_index:
+            self._send(
+                sender, self._snapshot_reply(message, done=True, offset=0)
+            )
+            return
+        if message.last_index != self._incoming_index or message.offset == 0:
+            self._incoming = []
+            self._incoming_index = message.last_index
+        received = sum(len(part) for part in self._incoming)
+        if message.offset != received:
+            self._send(
+                sender,
+                self._snapshot_reply(message, done=False, offset=received),
+            )
+            return
+        self._incoming.append(message.data)
+        received += len(message.data)
+        if message.done:
+            self._install(message)
+        self._send(
+            sender,
+            self._snapshot_reply(message, done=message.done, offset=received),
+        )
+
+    def _install(self, message: messages.SnapshotChunk) -> None:
+        snapshot = raft_log.SnapshotData(
+            message.last_index,
+            message.last_term,
+            message.membership,
+            b"".join(self._incoming),
+        )
+        self._incoming = []
+        self._incoming_index = 0
+        self.log.reset(snapshot)
+        self._output.entries = []
+        self._output.installed = snapshot
+        self.commit_index = snapshot.last_index
+        self.applied_index = snapshot.last_index
+        self._durable_index = snapshot.last_index
+        self._set_membership(snapshot.membership, snapshot.last_index)
+
+    def _snapshot_reply(
+        self, message: messages.SnapshotChunk, done: bool, offset: int
+    ) -> messages.SnapshotReply:
+        return messages.SnapshotReply(
+            term=self.term,
+            last_index=message.last_index,
+            offset=offset,
+            done=done,
+            round=message.round,
+        )
+
+    # Effects.
+
+    def _set_hard_state(self, term: int, voted_for: str) -> None:
+        self.term = term
+        self.voted_for = voted_for
+        self._output.hard_state = HardState(term, voted_for)
+
+    def _send(self, to: str, message: messages.AnyMessage) -> None:
+        outbound = Outbound(to, message)
+        if isinstance(message, messages.Append | messages.SnapshotChunk):
+            self._output.before_sync.append(outbound)
+        else:
+            self._output.after_sync.append(outbound)
--- /dev/null
+++ b/fulmarrouter/entry_web.py
@@ -0,0 +1,328 @@
+"""HTTP routes of an entry: callers, workers, endpoints and operators."""
+
+from collections.abc import Callable
+import secrets
+import threading
+
+import msgspec
+
+from fulmarrouter import codes
+from fulmarrouter import commands
+from fulmarrouter import errors
+from fulmarrouter import leader_client
+from fulmarrouter import metrics
+from fulmarrouter import proxy as proxy_lib
+from fulmarrouter import requests
+from fulmarrouter import router_task
+from fulmarrouter import settings as settings_lib
+from fulmarrouter import times
+from fulmarrouter import web
+
+CONTROL_TIMEOUT_S = 4.0
+IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "PUT", "DELETE", "OPTIONS"))
+CALL_PREFIX = "/call/"
+FULMAR_PREFIX = "fulmar-"
+MAX_LISTED = 1000
+
+
+class CancelBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a cancellation."""
+
+    jobs: tuple[commands.Name, ...]
+
+
+class TicketBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a change ticket."""
+
+    number: int
+    items: tuple[commands.TicketItem, ...]
+    operator: str = ""
+
+
+class Routes:
+    """Builds the routes of one entry."""
+
+    def __init__(
+        self,
+        settings: settings_lib.EntrySettings,
+        proxy: proxy_lib.Proxy,
+        router: router_task.RouterTask,
+        client: leader_client.LeaderClient,
+        registry: metrics.Registry,
+    ) -> None:
+        self._settings = settings
+        self._proxy = proxy
+        self._router = router
+        self._client = client
+        self._metrics = registry
+        self._places = threading.BoundedSemaphore(
+            settings.limits.max_in_progress
+        )
+        self.stopping = False
+
+    def build(self) -> web.App:
+        """Returns the application."""
+        app = web.App()
+        app.route(("*",), CALL_PREFIX + "*")(self._call)
+        app.route(("POST",), "/v1/workers/heartbeat")(self._worker_heartbeat)
+        app.route(("POST",), "/v1/endpoints/heartbeat")(
+            self._endpoint_heartbeat
+        )
+        app.route(("POST",), "/v1/jobs")(self._submit_job)
+        app.route(("GET",), "/v1/jobs")(self._list_jobs)
+        app.route(("POST",), "/v1/jobs/cancel")(self._cancel_jobs)
+        app.route(("GET",), "/v1/jobs/*")(self._show_job)
+        app.route(("POST",), "/v1/tickets")(self._submit_ticket)
+        app.route(("GET",), "/v1/tickets")(self._list_tickets)
+        app.route(("GET",), "/v1/tickets/*")(self._show_ticket)
+        app.route(("GET",), "/v1/workers")(
+            self._listing(requests.ListWorkers())
+        )
+        app.route(("GET",), "/v1/endpoints")(
+            self._listing(requests.ListEndpoints())
+        )
+        app.route(("GET",), "/v1/status")(self._listing(requests.GetStatus()))
+        app.route(("GET",), "/v1/record")(self._record)
+        app.route(("GET",), "/metrics")(self._show_metrics)
+        app.route(("GET",), "/healthz")(self._health)
+        return app
+
+    # Callers.
+
+    def _call(self, request: web.Request) -> web.Response:
+        if not self._places.acquire(blocking=False):
+            return self._refuse_call(request)
+        try:
+            return self._serve_call(request)
+        finally:
+            self._places.release()
+
+    def _refuse_call(self, request: web.Request) -> web.Response:
+        self._metrics.count("refusals", reason="MAX_IN_PROGRESS")
+        if _is_idempotent(request) or KEY_HEADER not in request.headers:
+            return web.code_response(codes.Code.OVERLOADED)
+        return web.code_response(
+            codes.Code.ATTEMPT_NOT_SENT, codes.Code.OVERLOADED.name
+        )
+
+    def _serve_call(self, request: web.Request) -> web.Response:
+        caller_request = self._read_call(request)
+        result = self._proxy.serve(caller_request)
+        if result.answer is None:
+            return web.code_response(
+                result.code, result.reason, caller_request.key
+            )
+        headers = [
+            *result.answer.headers,
+            commands.Header(web.CODE_HEADER, str(result.code.value)),
+        ]
+        if result.endpoint:
+            headers.append(commands.Header("Fulmar-Endpoint", result.endpoint))
+        if caller_request.key:
+            headers.append(
+                commands.Header(proxy_lib.KEY_HEADER, caller_request.key)
+            )
+        return web.Response(
+            result.answer.status, result.answer.body, tuple(headers)
+        )
+
+    def _read_call(self, request: web.Request) -> proxy_lib.CallerRequest:
+        below = request.target[len(CALL_PREFIX) :]
+        service, _, rest = below.partition("/")
+        service, question, query = service.partition("?")
+        target = "/" + rest + (question + query)
+        key = request.headers.get(KEY_HEADER, "")
+        is_idempotent = _is_idempotent(request)
+        key_is_new = not key
+        if is_idempotent:
+            key = ""
+        elif not key:
+            key = "minted-" + secrets.token_hex(16)
+        _check_name("service", service)
+        if key:
+            _check_name("key", key)
+        return proxy_lib.CallerRequest(
+            service=service,
+            method=request.method,
+            target=target,
+            headers=tuple(
+                commands.Header(name, value)
+                for name, value in request.headers.items()
+                if name not in proxy_lib.HOP_HEADERS
+                and not name.startswith(FULMAR_PREFIX)
+            ),
+            body=request.body,
+            caller=request.headers.get("fulmar-caller", request.remote),
+            key=key,
+            key_is_new=key_is_new,
+            deadline_ms=_read_int(
+                request.headers, "fulmar-deadline-ms", 0, 600_000
+            ),
+            arrived_at=request.arrived_at,
+        )
+
+    # Workers and endpoints.
+
+    def _worker_heartbeat(self, request: web.Request) -> web.Response:
+        heartbeat = web.decode_json(request.body, requests.WorkerHeartbeat)
+        return self._ask(heartbeat)
+
+    def _endpoint_heartbeat(self, request: web.Request) -> web.Response:
+        heartbeat = web.decode_json(request.body, requests.EndpointHeartbeat)
+        return self._ask(heartbeat)
+
+    # Jobs, tickets and listings.
+
+    def _submit_job(self, request: web.Request) -> web.Response:
+        spec = web.decode_json(request.body, commands.JobSpec)
+        return self._propose(commands.SubmitJob(spec, times.wall_ms()))
+
+    def _cancel_jobs(self, request: web.Request) -> web.Response:
+        body = web.decode_json(request.body, CancelBody)
+        return self._propose(commands.CancelJobs(body.jobs, times.wall_ms()))
+
+    def _show_job(self, request: web.Request) -> web.Response:
+        job = request.path.removeprefix("/v1/jobs/")
+        reply = self._reply(requests.ListJobs(job))
+        if isinstance(reply, requests.JobList) and not reply.jobs:
+            raise errors.RequestError(codes.Code.NO_SUCH_OBJECT, job)
+        return _reply_response(reply)
+
+    def _list_jobs(self, request: web.Request) -> web.Response:
+        limit = _read_int(request.query, "limit", 100, MAX_LISTED)
+        return self._ask(requests.ListJobs(limit=limit))
+
+    def _submit_ticket(self, request: web.Request) -> web.Response:
+        body = web.decode_json(request.body, TicketBody)
+        given = commands.SubmitTicket(
+            body.number, body.items, body.operator, times.wall_ms()
+        )
+        try:
+            ticket = msgspec.convert(
+                msgspec.to_builtins(given), commands.SubmitTicket
+            )
+        except msgspec.ValidationError as error:
+            raise errors.RequestError(
+                codes.Code.BAD_REQUEST, str(error)
+            ) from error
+        return self._propose(ticket)
+
+    def _show_ticket(self, request: web.Request) -> web.Response:
+        text = request.path.removeprefix("/v1/tickets/")
+        if not text.isdigit() or int(text) == 0:
+            raise errors.RequestError(
+                codes.Code.BAD_REQUEST, f"number {text!r}"
+            )
+        reply = self._reply(requests.ListTickets(int(text)))
+        if isinstance(reply, requests.TicketList) and not reply.tickets:
+            raise errors.RequestError(codes.Code.NO_SUCH_OBJECT, text)
+        return _reply_response(reply)
+
+    def _list_tickets(self, request: web.Request) -> web.Response:
+        limit = _read_int(request.query, "limit", 100, MAX_LISTED)
+        return self._ask(requests.ListTickets(limit=limit))
+
+    def _record(self, request: web.Request) -> web.Response:
+        highest = times.wall_ms() + 1000
+        from_ms = _read_int(request.query, "from_ms", 0, highest)
+        to_ms = _read_int(request.query, "to_ms", highest, highest)
+        return self._ask(requests.GetRecord(from_ms, to_ms))
+
+    def _listing(self, listing: requests.AnyRequest) -> web.Handler:
+        def handler(request: web.Request) -> web.Response:
+            del request
+            return self._ask(listing)
+
+        return handler
+
+    def _show_metrics(self, request: web.Request) -> web.Response:
+        del request
+        return web.text_response(self._metrics.render())
+
+    def _health(self, request: web.Request) -> web.Response:
+        del request
+        if self.stopping:
+            return web.text_response("stopping\n", 503)
+        if not self._router.ready:
+            return web.text_response("no configuration lease\n", 503)
+        return web.text_response("ready\n")
+
+    # Replies of the leader.
+
+    def _reply(self, request: requests.AnyRequest) -> requests.AnyReply:
+        return self._client.ask(request, CONTROL_TIMEOUT_S).result()
+
+    def _ask(self, request: requests.AnyRequest) -> web.Response:
+        return _reply_response(self._reply(request))
+
+    def _propose(self, command: commands.AnyCommand) -> web.Response:
+        return self._ask(requests.Propose(command))
+
+
+KEY_HEADER = proxy_lib.KEY_HEADER.lower()
+
+
+def _reply_response(reply: requests.AnyReply) -> web.Response:
+    match reply:
+        case requests.Refused():
+            return web.code_response(reply.code, reply.reason)
+        case requests.Proposed(result):
+            return web.code_response(result.code, result.reason)
+        case _:
+            return web.json_response(reply)
+
+
+def _is_idempotent(request: web.Request) -> bool:
+    """A request says whether it is idempotent, or its method does."""
+    marked = request.headers.get("fulmar-idempotent", "").lower()
+    if marked in ("true", "false"):
+        return marked == "true"
+    if marked:
+        raise errors.RequestError(
+            codes.Code.BAD_REQUEST, "Fulmar-Idempotent: allowed are true, false"
+        )
+    return request.method in IDEMPOTENT_METHODS
+
+
+def _check_name(what: str, value: str) -> None:
+    try:
+        msgspec.convert(value, commands.Name)
+    except msgspec.ValidationError as error:
+        raise errors.RequestError(
+            codes.Code.BAD_REQUEST, f"{what} {value!r}: {error}"
+        ) from error
+
+
+def _read_int(
+    values: dict[str, str], name: str, default: int, highest: int
+) -> int:
+    text = values.get(name)
+    if text is None:
+        return default
+    if not text.isdigit() or int(text) > highest:
+        raise errors.RequestError(
+            codes.Code.BAD_REQUEST,
+            f"{name}: given {text!r}, allowed: 0 to {highest}",
+        )
+    return int(text)
+
+
+def keeper_app(
+    registry: metrics.Registry, is_ready: Callable[[], bool]
+) -> web.App:
+    """Returns the operators' page of a keeper."""
+    app = web.App()
+
+    def show_metrics(request: web.Request) -> web.Response:
+        del request
+        return web.text_response(registry.render())
+
+    def health(request: web.Request) -> web.Response:
+        del request
+        if is_ready():
+            return web.text_response("ready\n")
+        return web.text_response("no leader known\n", 503)
+
+    app.route(("GET",), "/metrics")(show_metrics)
+    app.route(("GET",), "/healthz")(health)
+    return app
--- /dev/null
+++ b/fulmarrouter/interference.py
@@ -0,0 +1,124 @@
+"""Learns how much a task of one class slows a task of another.
+
+An estimate is kept for each ordered pair of classes. A usage report is
+attributed to the tasks that shared the worker when the measurement was taken,
+which a short history per worker remembers, since reports arrive late.
+"""
+
+import collections
+import dataclasses
+
+HISTORY_S = 120.0
+PRIOR_INFLATION = 0.05
+PRIOR_WEIGHT = 2.0
+LEARNING_RATE = 0.3
+MAX_WEIGHT = 50.0
+BASELINE_RISE = 0.002
+ALONE_RATE = 0.2
+UNCERTAINTY = 0.15
+
+
+@dataclasses.dataclass
+class _Estimate:
+    inflation: float = PRIOR_INFLATION
+    weight: float = PRIOR_WEIGHT
+
+
+@dataclasses.dataclass(frozen=True)
+class Sharing:
+    """Classes that shared a worker from a time on, with their numbers."""
+
+    since: float
+    count_by_class: dict[str, int]
+
+
+class History:
+    """What ran together on one worker, for the last `HISTORY_S` seconds."""
+
+    def __init__(self) -> None:
+        self._changes: collections.deque[Sharing] = collections.deque()
+
+    def note(self, now: float, count_by_class: dict[str, int]) -> None:
+        """Notes what runs from now on, if it differs from before."""
+        if self._changes and self._changes[-1].count_by_class == count_by_class:
+            return
+        self._changes.append(Sharing(now, count_by_class))
+        while (
+            len(self._changes) > 1 and self._changes[1].since < now - HISTORY_S
+        ):
+            self._changes.popleft()
+
+    def at(self, time: float) -> dict[str, int] | None:
+        """Returns what ran at a time, or None where it is not known."""
+        for change in reversed(self._changes):
+            if change.since <= time:
+                return change.count_by_class
+        return None
+
+
+class Estimator:
+    """Pairwise inflation estimates with their uncertainty."""
+
+    def __init__(self) -> None:
+        self._by_pair: dict[tuple[str, str], _Estimate] = {}
+        self._baseline_by_class: dict[str, float] = {}
+
+    def observe(
+        self, victim: str, measured: float, count_by_class: dict[str, int]
+    ) -> float:
+        """Learns from one measurement.
+
+        Args:
+            victim: Class of the measured task.
+            measured: Its latency, or its time per unit of work.
+            count_by_class: What shared the worker then, without the task.
+
+        Returns:
+            The inflation observed: 0 for none, 1 for twice the baseline.
+        """
+        is_alone = not any(count_by_class.values())
+        baseline = self._update_baseline(victim, measured, is_alone)
+        inflation = max(0.0, measured / baseline - 1.0)
+        if is_alone:
+            return inflation
+        predicted = sum(
+            self.expected(victim, other) * count
+            for other, count in count_by_class.items()
+        )
+        total = sum(count_by_class.values())
+        error = inflation - predicted
+        for other, count in count_by_class.items():
+            if count == 0:
+                continue
+            estimate = self._by_pair.setdefault((victim, other), _Estimate())
+            rate = max(LEARNING_RATE / estimate.weight**0.5, 1.0 / MAX_WEIGHT)
+            estimate.inflation = max(
+                0.0, estimate.inflation + rate * error / total
+            )
+            estimate.weight = min(MAX_WEIGHT, estimate.weight + 1.0)
+        return inflation
+
+    def expected(self, victim: str, other: str) -> float:
+        """Returns the expected inflation that one task adds to another."""
+        estimate = self._by_pair.get((victim, other))
+        return estimate.inflation if estimate else PRIOR_INFLATION
+
+    def cautious(self, victim: str, other: str) -> float:
+        """Returns the expected inflation plus its uncertainty."""
+        estimate = self._by_pair.get((victim, other))
+        weight = estimate.weight if estimate else PRIOR_WEIGHT
+        return self.expected(victim, other) + UNCERTAINTY / weight
+
+    def _update_baseline(
+        self, victim: str, measured: float, is_alone: bool
+    ) -> float:
+        known = self._baseline_by_class.get(victim)
+        if known is None:
+            baseline = measured
+        elif is_alone:
+            baseline = known + ALONE_RATE * (measured - known)
+        else:
+            # The lowest value seen, allowed to rise slowly when load shifts.
+            baseline = min(measured, known * (1.0 + BASELINE_RISE))
+        self._baseline_by_class[victim] = max(baseline, 1e-9)
+        return self._baseline_by_class[victim]
--- /dev/null
+++ b/fulmarrouter/keeper.py
@@ -0,0 +1,408 @@
+"""A keeper: a replica, the state it replicates, and the leader's decisions.
+
+Pure: the owning task passes the time, stores and syncs the replica's output,
+sends its messages, and hands replies back to the connections they came from.
+"""
+
+import dataclasses
+import random
+
+from fulmarrouter import codes
+from fulmarrouter import commands
+from fulmarrouter import consensus
+from fulmarrouter import leader as leader_lib
+from fulmarrouter import machine
+from fulmarrouter import messages
+from fulmarrouter import queries
+from fulmarrouter import raft_log
+from fulmarrouter import requests
+from fulmarrouter import state as state_lib
+
+SNAPSHOT_ENTRIES = 10_000
+READ_TIMEOUT_S = 2.0
+
+PROPOSABLE = (
+    commands.OpenSession,
+    commands.EndSession,
+    commands.RecordIntent,
+    commands.RecordOutcome,
+    commands.SubmitJob,
+    commands.CancelJobs,
+    commands.RequestStop,
+    commands.SubmitTicket,
+    commands.ReportCounts,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Client:
+    """Where a reply goes: a connection, and the request's number on it."""
+
+    connection: int
+    request: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Answered:
+    """A reply that is ready to be sent."""
+
+    client: Client
+    reply: requests.AnyReply
+
+
+@dataclasses.dataclass(frozen=True)
+class _PendingProposal:
+    client: Client
+    term: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _PendingRead:
+    client: Client
+    request: requests.AnyRequest
+    needed_index: int
+    needed_round: int
+    expires_at: float
+
+
+class Keeper:
+    """Core of a keeper process."""
+
+    def __init__(
+        self,
+        replica: consensus.Replica,
+        lease_settings: leader_lib.LeaseSettings,
+        rng: random.Random,
+    ) -> None:
+        self.replica = replica
+        self.state = state_lib.decode(replica.log.snapshot.data)
+        self.leader = leader_lib.Leader(lease_settings, rng)
+        self.applied_commands = 0
+        self._leading_term = 0
+        self._in_office = False
+        self._planned_index = 0
+        self._proposal_by_index: dict[int, _PendingProposal] = {}
+        self._reads: list[_PendingRead] = []
+        self._new_reads: list[_PendingRead] = []
+        self._answered: list[Answered] = []
+        self._snapshot_index = replica.log.snapshot.last_index
+
+    def on_message(
+        self, now: float, sender: str, message: messages.AnyMessage
+    ) -> None:
+        """Handles a message of another keeper."""
+        self.replica.step(now, sender, message)
+
+    def on_request(
+        self,
+        now: float,
+        wall_ms: int,
+        client: Client,
+        request: requests.AnyRequest,
+    ) -> None:
+        """Handles a request of an entry."""
+        if not self._in_office or not self.replica.leads_with_committed_entry:
+            self._refuse(client)
+            return
+        if isinstance(request, requests.Propose):
+            self._propose_for(client, request.command)
+            return
+        for command in self._commands_of(now, wall_ms, request):
+            self.replica.propose(commands.encode(command))
+        self._new_reads.append(
+            _PendingRead(
+                client,
+                request,
+                needed_index=self.replica.log.last_index,
+                needed_round=0,
+                expires_at=now + READ_TIMEOUT_S,
+            )
+        )
+
+    def tick(self, now: float, wall_ms: int) -> None:
+        """Acts on time; called at least once for each batch of input."""
+        self.replica.tick(now)
+        self._follow_role(now, wall_ms)
+        self._start_reads()
+        if self._in_office and self.replica.leads_with_committed_entry:
+            self._plan(now, wall_ms)
+            self._reconcile_keepers(now)
+        self.replica.flush(now)
+
+    def after_sync(self, now: float, wall_ms: int) -> list[Answered]:
+        """Applies what is committed and returns the replies that are ready."""
+        self.replica.mark_durable()
+        if self._snapshot_index < self.replica.log.snapshot.last_index:
+            self._adopt_snapshot()
+        for entry in self.replica.take_committed():
+            self._apply(entry)
+        self._follow_role(now, wall_ms)
+        self._answer_reads(now)
+        answered = self._answered
+        self._answered = []
+        return answered
+
+    def take_snapshot(self) -> raft_log.SnapshotData | None:
+        """Returns a snapshot to store, when enough has been applied."""
+        applied = self.replica.applied_index
+        if applied - self._snapshot_index < SNAPSHOT_ENTRIES:
+            return None
+        self._snapshot_index = applied
+        return self.replica.compact(state_lib.encode(self.state))
+
+    def leader_address(self) -> str:
+        """Returns the leader's address as host:port, or an empty string."""
+        for member in self.replica.membership.all_keepers():
+            if member.keeper == self.replica.leader:
+                return f"{member.host}:{member.port}"
+        return ""
+
+    def _refuse(self, client: Client) -> None:
+        self._answered.append(
+            Answered(
+                client,
+                requests.Refused(
+                    codes.Code.NOT_LEADER, leader=self.leader_address()
+                ),
+            )
+        )
+
+    def _propose_for(
+        self, client: Client, command: commands.AnyCommand
+    ) -> None:
+        if not isinstance(command, PROPOSABLE):
+            refused = requests.Refused(
+                codes.Code.INVALID, type(command).__name__
+            )
+            self._answered.append(Answered(client, refused))
+            return
+        index = self.replica.propose(commands.encode(command))
+        assert index is not None
+        self._proposal_by_index[index] = _PendingProposal(
+            client, self.replica.term
+        )
+
+    def _commands_of(
+        self, now: float, wall_ms: int, request: requests.AnyRequest
+    ) -> list[commands.AnyCommand]:
+        match request:
+            case requests.WorkerHeartbeat():
+                return self.leader.on_worker_heartbeat(
+                    now, wall_ms, self.state, request
+                )
+            case requests.EndpointHeartbeat():
+                return self.leader.on_endpoint_heartbeat(
+                    now, wall_ms, self.state, request
+                )
+            case requests.EntryHeartbeat():
+                return self.leader.on_entry_heartbeat(now, self.state, request)
+            case _:
+                return []
+
+    def _follow_role(self, now: float, wall_ms: int) -> None:
+        if self.replica.is_leader and self._leading_term != self.replica.term:
+            self._leave_office()
+            self._leading_term = self.replica.term
+            elected = commands.LeaderElected(
+                self.replica.keeper, self.replica.term, wall_ms
+            )
+            self.replica.propose(commands.encode(elected))
+        if not self._in_office and self.replica.leads_with_committed_entry:
+            self._in_office = True
+            self._planned_index = 0
+            self.leader.take_office(now, self.state)
+        if not self.replica.is_leader:
+            self._leave_office()
+
+    def _leave_office(self) -> None:
+        self._in_office = False
+        self._leading_term = 0
+        for pending in self._proposal_by_index.values():
+            unknown = requests.Refused(
+                codes.Code.PROPOSAL_UNKNOWN, leader=self.leader_address()
+            )
+            self._answered.append(Answered(pending.client, unknown))
+        self._proposal_by_index = {}
+        for read in self._reads + self._new_reads:
+            self._refuse(read.client)
+        self._reads = []
+        self._new_reads = []
+
+    def _start_reads(self) -> None:
+        """Confirms leadership once for all requests of a batch."""
+        if not self._new_reads:
+            return
+        read_round = self.replica.begin_read()
+        if read_round is None:
+            return
+        self._reads += [
+            dataclasses.replace(read, needed_round=read_round)
+            for read in self._new_reads
+        ]
+        self._new_reads = []
+
+    def _answer_reads(self, now: float) -> None:
+        waiting: list[_PendingRead] = []
+        for read in self._reads:
+            is_applied = self.replica.applied_index >= read.needed_index
+            if is_applied and self.replica.read_confirmed(read.needed_round):
+                reply = self._reply_to(now, read.request)
+                self._answered.append(Answered(read.client, reply))
+            elif now >= read.expires_at:
+                self._refuse(read.client)
+            else:
+                waiting.append(read)
+        self._reads = waiting
+
+    def _reply_to(
+        self, now: float, request: requests.AnyRequest
+    ) -> requests.AnyReply:
+        match request:
+            case requests.WorkerHeartbeat():
+                return self._worker_reply(request)
+            case requests.EndpointHeartbeat():
+                return self._endpoint_reply(request)
+            case requests.EntryHeartbeat():
+                if request.session not in self.state.session_by_id:
+                    return requests.Refused(codes.Code.SESSION_ENDED)
+                return self.leader.entry_view(
+                    self.state,
+                    request,
+                    self.replica.term,
+                    self.replica.membership.voters,
+                )
+            case _:
+                context = queries.Context(
+                    now, self.state, self.leader, lambda: self._status(now)
+                )
+                answerer = queries.ANSWERER_BY_REQUEST[type(request)]
+                return answerer(context, request)
+
+    def _worker_reply(
+        self, request: requests.WorkerHeartbeat
+    ) -> requests.AnyReply:
+        known = self.state.worker_by_id.get(request.worker)
+        if known and known.announcement.incarnation > request.incarnation:
+            return requests.Refused(codes.Code.STALE_INCARNATION)
+        return self.leader.worker_orders(self.state, request)
+
+    def _endpoint_reply(
+        self, request: requests.EndpointHeartbeat
+    ) -> requests.AnyReply:
+        known = self.state.endpoint_by_id.get(request.endpoint)
+        if known and known.announcement.incarnation > request.incarnation:
+            return requests.Refused(codes.Code.STALE_INCARNATION)
+        return self.leader.endpoint_accepted(self.state, request)
+
+    def _status(self, now: float) -> requests.Status:
+        jobs_by_phase: dict[str, int] = {}
+        for job in self.state.job_by_id.values():
+            phase = job.phase.value
+            jobs_by_phase[phase] = jobs_by_phase.get(phase, 0) + 1
+        return requests.Status(
+            leader=self.replica.keeper,
+            term=self.replica.term,
+            commit_index=self.replica.commit_index,
+            config_version=self.state.config_version,
+            keepers=tuple(
+                self._keeper_view(now, member)
+                for member in self.replica.membership.all_keepers()
+            ),
+            sessions=self.leader.session_views(now, self.state),
+            jobs_by_phase=jobs_by_phase,
+        )
+
+    def _keeper_view(
+        self, now: float, member: commands.KeeperAddress
+    ) -> requests.KeeperView:
+        peer = self.replica.peer_status(now, member.keeper)
+        return requests.KeeperView(
+            keeper=member.keeper,
+            address=f"{member.host}:{member.port}",
+            voter=self.replica.membership.votes(member.keeper),
+            match_index=peer.match_index,
+            last_heard_ms=int(peer.silent_for * 1000),
+            lost_disk=member.keeper in self.replica.blank_voters,
+        )
+
+    def _apply(self, entry: messages.Entry) -> None:
+        if entry.kind is messages.EntryKind.MEMBERS:
+            return
+        command = commands.decode(entry.data)
+        result = machine.apply(self.state, entry.index, command)
+        self.applied_commands += 1
+        pending = self._proposal_by_index.pop(entry.index, None)
+        if pending is None:
+            return
+        reply: requests.AnyReply = requests.Proposed(result)
+        if pending.term != entry.term:
+            reply = requests.Refused(codes.Code.PROPOSAL_UNKNOWN)
+        self._answered.append(Answered(pending.client, reply))
+
+    def _adopt_snapshot(self) -> None:
+        snapshot = self.replica.log.snapshot
+        self._snapshot_index = snapshot.last_index
+        self.state = state_lib.decode(snapshot.data)
+
+    def _plan(self, now: float, wall_ms: int) -> None:
+        if self.replica.applied_index < self._planned_index:
+            return
+        for command in self.leader.tick(now, wall_ms, self.state):
+            index = self.replica.propose(commands.encode(command))
+            assert index is not None
+            self._planned_index = index
+
+    def _reconcile_keepers(self, now: float) -> None:
+        """Takes one step towards the keepers that a ticket has named."""
+        known = self.state.config_by_name.get("keeper_set/keepers")
+        if known is None or not isinstance(known.item, commands.KeeperSet):
+            return
+        wanted = known.item.keepers
+        change = next_membership(self.replica, wanted)
+        if change is not None:
+            self.replica.propose_membership(now, change)
+
+
+def next_membership(
+    replica: consensus.Replica, wanted: tuple[commands.KeeperAddress, ...]
+) -> messages.Membership | None:
+    """Returns the next membership on the way to the wanted one, or None.
+
+    New keepers learn the log first and vote once they hold it; only then are
+    keepers removed, the leader last.
+    """
+    current = replica.membership
+    wanted_ids = {member.keeper for member in wanted}
+    for member in wanted:
+        if current.votes(member.keeper):
+            continue
+        if not current.learns(member.keeper):
+            return messages.Membership(
+                current.voters, (*current.learners, member)
+            )
+        if replica.is_caught_up(member.keeper):
+            learners = tuple(
+                item
+                for item in current.learners
+                if item.keeper != member.keeper
+            )
+            return messages.Membership((*current.voters, member), learners)
+        return None
+    surplus = [
+        member
+        for member in current.all_keepers()
+        if member.keeper not in wanted_ids
+    ]
+    surplus.sort(key=lambda member: member.keeper == replica.keeper)
+    for removed in surplus:
+        return messages.Membership(
+            tuple(
+                item for item in current.voters if item.keeper != removed.keeper
+            ),
+            tuple(
+                item
+                for item in current.learners
+                if item.keeper != removed.keeper
+            ),
+        )
+    return None
--- /dev/null
+++ b/fulmarrouter/leader.py
@@ -0,0 +1,888 @@
+"""What only the leading keeper knows and decides: deadlines and plans.
+
+Nothing here is replicated. A new leader starts with deadlines that outlast
+every lease an earlier leader can have renewed: that leader confirmed its
+leadership with a majority after it had received the heartbeat it answered, so
+the heartbeat came before the new leader's election.
+"""
+
+import dataclasses
+import random
+
+from fulmarrouter import commands
+from fulmarrouter import interference
+from fulmarrouter import jobs
+from fulmarrouter import placement
+from fulmarrouter import pressure
+from fulmarrouter import requests
+from fulmarrouter import sharing
+from fulmarrouter import state as state_lib
+
+MAX_GRANTS_PER_TICK = 256
+PLAN_INTERVAL_S = 0.05
+EXPIRY_INTERVAL_S = 0.2
+SHARE_INTERVAL_S = 0.5
+FORGET_WORKER_S = 600.0
+PROBATION_S = 300.0
+PROBATION_FAILURES = 3
+PROBATION_MAX_FRACTION = 0.25
+RESERVATION_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseSettings:
+    """Lease lengths and heartbeat intervals, in seconds.
+
+    Attributes:
+        drift: How much faster one clock may run than another, as a share.
+        allowance: Added to each lease on the keeper's side.
+        request_limit: Longest time that an entry lets a request run.
+    """
+
+    worker_lease: float = 6.0
+    worker_heartbeat: float = 1.0
+    entry_lease: float = 3.0
+    endpoint_lease: float = 3.0
+    endpoint_heartbeat: float = 0.5
+    request_limit: float = 10.0
+    drift: float = 0.02
+    allowance: float = 0.2
+
+    def outlasting(self, lease: float) -> float:
+        """Returns how long the keeper waits for a lease to have ended."""
+        return lease * (1.0 + self.drift) + self.allowance
+
+    @property
+    def session_end(self) -> float:
+        """How long after its last heartbeat an entry may use a share."""
+        return self.outlasting(self.entry_lease + self.request_limit)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Reservation:
+    """A worker on which room is being made for an urgent job."""
+
+    worker: str
+    until: float
+
+
+@dataclasses.dataclass
+class _EntryInfo:
+    lease_until: float
+    config_version: int = 0
+    draining: bool = False
+    demand_by_service: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass
+class _WorkerInfo:
+    deadline: float
+    leaving: bool = False
+    failed_jobs: set[str] = dataclasses.field(default_factory=set)
+    probation_until: float | None = None
+    history: interference.History = dataclasses.field(
+        default_factory=interference.History
+    )
+    inflation: float = 0.0
+
+
+class Leader:
+    """Volatile side of the leading keeper."""
+
+    def __init__(self, settings: LeaseSettings, rng: random.Random) -> None:
+        self.settings = settings
+        self.waiting_for: dict[str, str] = {}
+        self.estimator = interference.Estimator()
+        self.pressure = pressure.Pressure()
+        self._rng = rng
+        self._entry_by_session: dict[int, _EntryInfo] = {}
+        self._worker_by_id: dict[str, _WorkerInfo] = {}
+        self._endpoint_deadline: dict[str, float] = {}
+        self._target_by_share: dict[tuple[int, str], int] = {}
+        self._target_version = 0
+        self._reservation_by_job: dict[str, _Reservation] = {}
+        self._plan_due = 0.0
+        self._expiry_due = 0.0
+        self._share_due = 0.0
+
+    def take_office(self, now: float, state: state_lib.State) -> None:
+        """Starts all deadlines anew at the beginning of a term."""
+        lease = self.settings
+        self._entry_by_session = {
+            session: _EntryInfo(now + lease.entry_lease)
+            for session in state.session_by_id
+        }
+        self._worker_by_id = {
+            worker: _WorkerInfo(
+                now + lease.outlasting(lease.worker_lease),
+                probation_until=now + PROBATION_S
+                if item.on_probation
+                else None,
+            )
+            for worker, item in state.worker_by_id.items()
+        }
+        self._endpoint_deadline = dict.fromkeys(
+            state.endpoint_by_id, now + lease.endpoint_lease
+        )
+        self._target_by_share = {}
+        self._reservation_by_job = {}
+        self.waiting_for = {}
+
+    # Workers.
+
+    def is_alive(self, now: float, worker: str) -> bool:
+        """Tells whether a worker's leases may still be running."""
+        info = self._worker_by_id.get(worker)
+        return info is not None and info.deadline > now
+
+    def on_worker_heartbeat(
+        self,
+        now: float,
+        wall_ms: int,
+        state: state_lib.State,
+        request: requests.WorkerHeartbeat,
+    ) -> list[commands.AnyCommand]:
+        """Takes a worker's reports in; returns the commands to commit."""
+        known = state.worker_by_id.get(request.worker)
+        proposals: list[commands.AnyCommand] = []
+        if (
+            known is None
+            or known.announcement.incarnation < request.incarnation
+        ):
+            proposals.append(_announcement(request, wall_ms))
+        elif known.announcement.incarnation > request.incarnation:
+            return []
+        deadline = now + self.settings.outlasting(self.settings.worker_lease)
+        info = self._worker_by_id.setdefault(
+            request.worker, _WorkerInfo(deadline)
+        )
+        info.deadline = max(info.deadline, deadline)
+        info.leaving = request.leaving
+        for report in request.reports:
+            job = state.job_by_id.get(report.job)
+            if job is None or not _is_news(job, request.worker, report):
+                continue
+            self._count_result(info, report)
+            proposals.append(
+                commands.ReportTask(
+                    job=report.job,
+                    epoch=report.epoch,
+                    worker=request.worker,
+                    event=report.event,
+                    checkpoint=report.checkpoint,
+                    exit_code=report.exit_code,
+                    at_ms=wall_ms,
+                )
+            )
+        self._learn(now, state, request, info)
+        return proposals
+
+    def worker_orders(
+        self, state: state_lib.State, request: requests.WorkerHeartbeat
+    ) -> requests.WorkerOrders:
+        """Returns the leases that a reply renews and the commands it carries."""
+        worker = state.worker_by_id.get(request.worker)
+        lease_ms = int(self.settings.worker_lease * 1000)
+        heartbeat_ms = int(self.settings.worker_heartbeat * 1000)
+        if (
+            worker is None
+            or worker.announcement.incarnation != request.incarnation
+        ):
+            return requests.WorkerOrders(lease_ms, heartbeat_ms)
+        leases: list[requests.LeaseView] = []
+        starts: list[requests.StartOrder] = []
+        stops: list[requests.StopOrder] = []
+        throttles: list[requests.ThrottleOrder] = []
+        step = self.pressure.step_of(request.worker)
+        for job_id, epoch in worker.jobs.items():
+            job = state.job_by_id[job_id]
+            leases.append(requests.LeaseView(job_id, epoch))
+            if job.phase is state_lib.JobPhase.STOPPING and job.stop_reason:
+                stops.append(requests.StopOrder(job_id, epoch, job.stop_reason))
+                continue
+            if not job.started:
+                starts.append(_start_order(job))
+            is_batch = job.spec.kind is commands.JobKind.BATCH
+            if is_batch and step >= pressure.Step.THROTTLED:
+                throttles.append(
+                    requests.ThrottleOrder(
+                        job_id, epoch, pressure.THROTTLE_PERCENT
+                    )
+                )
+        return requests.WorkerOrders(
+            lease_ms,
+            heartbeat_ms,
+            tuple(leases),
+            tuple(starts),
+            tuple(stops),
+            tuple(throttles),
+        )
+
+    def _count_result(
+        self, info: _WorkerInfo, report: requests.TaskReport
+    ) -> None:
+        if report.event is commands.TaskEvent.SUCCEEDED:
+            info.failed_jobs.clear()
+        if report.event in (
+            commands.TaskEvent.FAILED,
+            commands.TaskEvent.NOT_STARTED,
+        ):
+            info.failed_jobs.add(report.job)
+
+    def _learn(
+        self,
+        now: float,
+        state: state_lib.State,
+        request: requests.WorkerHeartbeat,
+        info: _WorkerInfo,
+    ) -> None:
+        worker = state.worker_by_id.get(request.worker)
+        if worker is None:
+            return
+        info.history.note(now, _count_classes(state, worker))
+        for usage in request.usage:
+            job = state.job_by_id.get(usage.job)
+            sharing_then = info.history.at(now - usage.age_ms / 1000.0)
+            if job is None or sharing_then is None:
+                continue
+            others = dict(sharing_then)
+            own_class = job.spec.task_class
+            others[own_class] = max(0, others.get(own_class, 0) - 1)
+            if usage.tail_ms > 0:
+                inflation = self.estimator.observe(
+                    own_class, usage.tail_ms, others
+                )
+                self.pressure.observe(now, request.worker, inflation)
+            elif usage.work_rate > 0:
+                self.estimator.observe(own_class, 1.0 / usage.work_rate, others)
+
+    # Endpoints and entries.
+
+    def on_endpoint_heartbeat(
+        self,
+        now: float,
+        wall_ms: int,
+        state: state_lib.State,
+        request: requests.EndpointHeartbeat,
+    ) -> list[commands.AnyCommand]:
+        """Takes an endpoint's heartbeat in; returns the commands to commit."""
+        known = state.endpoint_by_id.get(request.endpoint)
+        incarnation = known.announcement.incarnation if known else 0
+        if incarnation > request.incarnation:
+            return []
+        self._endpoint_deadline[request.endpoint] = (
+            now + self.settings.endpoint_lease
+        )
+        proposals: list[commands.AnyCommand] = []
+        is_new = (
+            known is None or incarnation < request.incarnation or known.lost
+        )
+        if is_new and not request.leaving:
+            proposals.append(
+                commands.AnnounceEndpoint(
+                    request.endpoint,
+                    request.incarnation,
+                    request.service,
+                    request.host,
+                    request.port,
+                    request.slots,
+                    request.connections,
+                    request.domain,
+                    wall_ms,
+                )
+            )
+        if request.leaving and known is not None and not known.leaving:
+            proposals.append(
+                commands.EndpointLeaving(
+                    request.endpoint, request.incarnation, wall_ms
+                )
+            )
+        return proposals
+
+    def endpoint_accepted(
+        self, state: state_lib.State, request: requests.EndpointHeartbeat
+    ) -> requests.EndpointAccepted:
+        """Returns the reply to an endpoint's heartbeat."""
+        known = state.endpoint_by_id.get(request.endpoint)
+        shares = known.share_by_session.values() if known else ()
+        return requests.EndpointAccepted(
+            lease_ms=int(self.settings.endpoint_lease * 1000),
+            heartbeat_ms=int(self.settings.endpoint_heartbeat * 1000),
+            shares_held=sum(share.slots for share in shares),
+        )
+
+    def on_entry_heartbeat(
+        self,
+        now: float,
+        state: state_lib.State,
+        request: requests.EntryHeartbeat,
+    ) -> list[commands.AnyCommand]:
+        """Takes an entry's heartbeat in; returns the commands to commit."""
+        if request.session not in state.session_by_id:
+            return []
+        self._entry_by_session[request.session] = _EntryInfo(
+            lease_until=now
+            + self.settings.outlasting(self.settings.entry_lease),
+            config_version=request.config_version,
+            draining=request.draining,
+            demand_by_service=dict(request.demand_by_service),
+        )
+        proposals: list[commands.AnyCommand] = []
+        for held in request.held:
+            endpoint = state.endpoint_by_id.get(held.endpoint)
+            if endpoint is None:
+                continue
+            share = endpoint.share_by_session.get(request.session)
+            if share is None or share.version != held.version:
+                continue
+            if held.slots < share.slots:
+                proposals.append(
+                    sharing.set_share(endpoint, request.session, held.slots)
+                )
+        return proposals
+
+    def entry_view(
+        self,
+        state: state_lib.State,
+        request: requests.EntryHeartbeat,
+        term: int,
+        keepers: tuple[commands.KeeperAddress, ...],
+    ) -> requests.EntryView:
+        """Returns the reply to an entry's heartbeat."""
+        view = f"{term}.{state.view_version}.{self._target_version}"
+        lease_ms = int(self.settings.entry_lease * 1000)
+        if view == request.view:
+            return requests.EntryView(
+                lease_ms, view, False, config_version=state.config_version
+            )
+        return requests.EntryView(
+            lease_ms,
+            view,
+            True,
+            config_version=state.config_version,
+            endpoints=tuple(
+                self._endpoint_view(state, request, endpoint_id)
+                for endpoint_id in sorted(state.endpoint_by_id)
+            ),
+            config=tuple(
+                state.config_by_name[name].item
+                for name in sorted(state.config_by_name)
+            ),
+            keepers=keepers,
+        )
+
+    def _endpoint_view(
+        self,
+        state: state_lib.State,
+        request: requests.EntryHeartbeat,
+        endpoint_id: str,
+    ) -> requests.EndpointView:
+        endpoint = state.endpoint_by_id[endpoint_id]
+        announcement = endpoint.announcement
+        share = endpoint.share_by_session.get(
+            request.session, state_lib.Share(0, 0)
+        )
+        usable = _takes_work(state, endpoint)
+        target = self._target_by_share.get(
+            (request.session, endpoint_id), share.slots
+        )
+        return requests.EndpointView(
+            endpoint=endpoint_id,
+            incarnation=announcement.incarnation,
+            service=announcement.service,
+            host=announcement.host,
+            port=announcement.port,
+            domain=announcement.domain,
+            usable=usable,
+            slots=share.slots,
+            connections=share.connections,
+            version=share.version,
+            target=min(target, share.slots) if usable else 0,
+        )
+
+    def session_views(
+        self, now: float, state: state_lib.State
+    ) -> tuple[requests.SessionView, ...]:
+        """Returns the entries' sessions for operators."""
+        views = []
+        for session_id, session in sorted(state.session_by_id.items()):
+            info = self._entry_by_session.get(session_id, _EntryInfo(now))
+            views.append(
+                requests.SessionView(
+                    entry=session.entry,
+                    session=session_id,
+                    domain=session.domain,
+                    config_version=info.config_version,
+                    lease_left_ms=max(0, int((info.lease_until - now) * 1000)),
+                    draining=info.draining,
+                )
+            )
+        return tuple(views)
+
+    # Plans.
+
+    def tick(
+        self, now: float, wall_ms: int, state: state_lib.State
+    ) -> list[commands.AnyCommand]:
+        """Returns the commands that time alone makes necessary.
+
+        Called only when all commands returned earlier have been applied, so
+        that no decision is made twice.
+        """
+        proposals: list[commands.AnyCommand] = []
+        if now >= self._expiry_due:
+            self._expiry_due = now + EXPIRY_INTERVAL_S
+            proposals += self._expire_workers(now, wall_ms, state)
+            proposals += self._expire_endpoints(now, wall_ms, state)
+            proposals += self._expire_sessions(now, wall_ms, state)
+            proposals += self._judge_workers(now, wall_ms, state)
+            proposals += self._relieve(now, wall_ms, state)
+        if now >= self._share_due:
+            self._share_due = now + SHARE_INTERVAL_S
+            proposals += self._plan_shares(now, state)
+        if now >= self._plan_due:
+            self._plan_due = now + PLAN_INTERVAL_S
+            proposals += self._place(now, wall_ms, state)
+        return proposals
+
+    def _expire_workers(
+        self, now: float, wall_ms: int, state: state_lib.State
+    ) -> list[commands.AnyCommand]:
+        proposals: list[commands.AnyCommand] = []
+        for worker_id, worker in state.worker_by_id.items():
+            info = self._worker_by_id.get(worker_id)
+            if info is None or info.deadline > now:
+                if info is not None and self._is_leaving(
+                    state, worker_id, info
+                ):
+                    proposals += self._drain(wall_ms, state, worker)
+                continue
+            if worker.jobs:
+                proposals += [
+                    commands.EndLease(
+                        job, epoch, commands.EndReason.EXPIRED, wall_ms
+                    )
+                    for job, epoch in worker.jobs.items()
+                ]
+            elif info.leaving or now - info.deadline >= FORGET_WORKER_S:
+                self.pressure.forget(worker_id)
+                proposals.append(
+                    commands.RemoveWorker(
+                        worker_id, worker.announcement.incarnation, wall_ms
+                    )
+                )
+        return proposals
+
+    def _is_leaving(
+        self, state: state_lib.State, worker: str, info: _WorkerInfo
+    ) -> bool:
+        return info.leaving or jobs.is_draining(state, worker)
+
+    def _drain(
+        self, wall_ms: int, state: state_lib.State, worker: state_lib.Worker
+    ) -> list[commands.AnyCommand]:
+        return [
+            commands.RequestStop(job, epoch, commands.StopReason.DRAIN, wall_ms)
+            for job, epoch in worker.jobs.items()
+            if state.job_by_id[job].phase is state_lib.JobPhase.LEASED
+            and jobs.can_evict(state.job_by_id[job])
+        ]
+
+    def _expire_endpoints(
+        self, now: float, wall_ms: int, state: state_lib.State
+    ) -> list[commands.AnyCommand]:
+        proposals: list[commands.AnyCommand] = []
+        for endpoint_id, endpoint in state.endpoint_by_id.items():
+            deadline = self._endpoint_deadline.setdefault(
+                endpoint_id, now + self.settings.endpoint_lease
+            )
+            is_drained = endpoint.lost and not endpoint.share_by_session
+            if deadline > now or (endpoint.lost and not is_drained):
+                continue
+            proposals.append(
+                commands.RemoveEndpoint(
+                    endpoint_id,
+                    endpoint.announcement.incarnation,
+                    not endpoint.leaving,
+                    wall_ms,
+                )
+            )
+        return proposals
+
+    def _expire_sessions(
+        self, now: float, wall_ms: int, state: state_lib.State
+    ) -> list[commands.AnyCommand]:
+        grace = self.settings.session_end - self.settings.entry_lease
+        proposals: list[commands.AnyCommand] = []
+        for session in state.session_by_id:
+            info = self._entry_by_session.setdefault(
+                session, _EntryInfo(now + self.settings.entry_lease)
+            )
+            if now >= info.lease_until + grace:
+                proposals.append(commands.EndSession(session, True, wall_ms))
+        return proposals
+
+    def _judge_workers(
+        self, now: float, wall_ms: int, state: state_lib.State
+    ) -> list[commands.AnyCommand]:
+        proposals: list[commands.AnyCommand] = []
+        on_probation = sum(
+            item.on_probation for item in state.worker_by_id.values()
+        )
+        limit = max(1, int(PROBATION_MAX_FRACTION * len(state.worker_by_id)))
+        for worker_id, info in self._worker_by_id.items():
+            worker = state.worker_by_id.get(worker_id)
+            if worker is None:
+                continue
+            if worker.on_probation:
+                if info.probation_until is None or info.probation_until <= now:
+                    info.probation_until = None
+                    info.failed_jobs.clear()
+                    proposals.append(
+                        commands.SetProbation(
+                            worker_id, False, "time served", wall_ms
+                        )
+                    )
+                continue
+            if (
+                len(info.failed_jobs) < PROBATION_FAILURES
+                or on_probation >= limit
+            ):
+                continue
+            on_probation += 1
+            info.probation_until = now + PROBATION_S
+            proposals.append(
+                commands.SetProbation(
+                    worker_id,
+                    True,
+                    f"failed_jobs={len(info.failed_jobs)}",
+                    wall_ms,
+                )
+            )
+        return proposals
+
+    def _relieve(
+        self, now: float, wall_ms: int, state: state_lib.State
+    ) -> list[commands.AnyCommand]:
+        """Evicts one batch task from each worker on the last step."""
+        proposals: list[commands.AnyCommand] = []
+        for worker_id, worker in state.worker_by_id.items():
+            if self.pressure.step_of(worker_id) is not pressure.Step.EVICTING:
+                continue
+            victim = self._worst_neighbour(state, worker)
+            if victim is None or not self.pressure.budget.take(now):
+                continue
+            self.pressure.after_eviction(now, worker_id)
+            proposals.append(
+                commands.RequestStop(
+                    victim.spec.job,
+                    victim.epoch,
+                    commands.StopReason.EVICT,
+                    wall_ms,
+                )
+            )
+        return proposals
+
+    def _worst_neighbour(
+        self, state: state_lib.State, worker: state_lib.Worker
+    ) -> state_lib.Job | None:
+        held = [state.job_by_id[job] for job in worker.jobs]
+        services = [
+            job.spec.task_class
+            for job in held
+            if job.spec.kind is commands.JobKind.SERVICE
+        ]
+        evictable = [
+            job
+            for job in held
+            if job.spec.kind is commands.JobKind.BATCH
+            and job.phase is state_lib.JobPhase.LEASED
+            and jobs.can_evict(job)
+        ]
+
+        def harm(job: state_lib.Job) -> tuple[float, str]:
+            total = sum(
+                self.estimator.expected(service, job.spec.task_class)
+                for service in services
+            )
+            return total, job.spec.job
+
+        return max(evictable, key=harm, default=None)
+
+    def _plan_shares(
+        self, now: float, state: state_lib.State
+    ) -> list[commands.AnyCommand]:
+        by_service: dict[str, dict[str, state_lib.Endpoint]] = {}
+        for endpoint_id, endpoint in sorted(state.endpoint_by_id.items()):
+            if _takes_work(state, endpoint):
+                service = by_service.setdefault(
+                    endpoint.announcement.service, {}
+                )
+                service[endpoint_id] = endpoint
+        proposals: list[commands.AnyCommand] = []
+        targets: dict[tuple[int, str], int] = {}
+        for service_name, service in sorted(by_service.items()):
+            demand_by_session = {
+                session: info.demand_by_service.get(service_name, 0.0)
+                for session, info in sorted(self._entry_by_session.items())
+                if session in state.session_by_id
+                and info.lease_until > now
+                and not info.draining
+            }
+            plan = sharing.plan_service(service, demand_by_session)
+            proposals += plan.grants
+            targets.update(plan.target_by_share)
+        if targets != self._target_by_share:
+            self._target_by_share = targets
+            self._target_version += 1
+        return proposals
+
+    def _place(
+        self, now: float, wall_ms: int, state: state_lib.State
+    ) -> list[commands.AnyCommand]:
+        proposals: list[commands.AnyCommand] = []
+        queued = _in_order(state, MAX_GRANTS_PER_TICK)
+        if not queued:
+            return proposals
+        workers = [
+            worker
+            for worker, info in self._worker_by_id.items()
+            if info.deadline > now and not info.leaving
+        ]
+        taken: dict[str, commands.Resources] = {}
+        held_by_team: dict[str, commands.Resources] = {}
+        weights = _weights(state)
+        self._reservation_by_job = {
+            job: reservation
+            for job, reservation in self._reservation_by_job.items()
+            if reservation.until > now
+        }
+        for job in queued:
+            team = job.spec.team
+            held = held_by_team.get(team) or state.held_by_team.get(
+                team, commands.Resources()
+            )
+            held = held.plus(job.spec.needs)
+            quota = jobs.quota_of(state, team)
+            if quota is not None and not held.fits_in(quota):
+                self.waiting_for[job.spec.job] = "quota"
+                continue
+            chosen = placement.choose_worker(
+                job.spec,
+                workers,
+                self._lookup_for(state, job, taken),
+                self.estimator,
+                weights,
+                self._rng,
+            )
+            if chosen is None:
+                self.waiting_for[job.spec.job] = "capacity"
+                if job.spec.priority is commands.Priority.URGENT:
+                    proposals += self._preempt(
+                        now, wall_ms, state, job, workers
+                    )
+                continue
+            self.waiting_for.pop(job.spec.job, None)
+            self._reservation_by_job.pop(job.spec.job, None)
+            held_by_team[team] = held
+            taken[chosen.worker] = taken.get(
+                chosen.worker, commands.Resources()
+            ).plus(job.spec.needs)
+            proposals.append(
+                commands.GrantLease(
+                    job=job.spec.job,
+                    worker=chosen.worker,
+                    incarnation=state.worker_by_id[
+                        chosen.worker
+                    ].announcement.incarnation,
+                    epoch=job.epoch + 1,
+                    at_ms=wall_ms,
+                )
+            )
+        return proposals
+
+    def _lookup_for(
+        self,
+        state: state_lib.State,
+        job: state_lib.Job,
+        taken: dict[str, commands.Resources],
+    ) -> placement.Lookup:
+        is_urgent = job.spec.priority is commands.Priority.URGENT
+        reserved = self._reserved_workers()
+
+        def lookup(worker_id: str) -> placement.Candidate | None:
+            worker = state.worker_by_id.get(worker_id)
+            if worker is None or worker.on_probation:
+                return None
+            if worker_id in job.failed_on and len(state.worker_by_id) > 1:
+                return None
+            if jobs.is_draining(state, worker_id):
+                return None
+            if worker_id in reserved and not is_urgent:
+                return None
+            free = jobs.free_capacity(worker)
+            if worker_id in taken:
+                free = free.minus(taken[worker_id])
+            step = self.pressure.step_of(worker_id)
+            return placement.Candidate(
+                worker=worker_id,
+                capacity=worker.announcement.capacity,
+                free=free,
+                tasks=_tasks_of(state, worker),
+                closed_to_batch=step >= pressure.Step.CLOSED,
+            )
+
+        return lookup
+
+    def _reserved_workers(self) -> set[str]:
+        return {item.worker for item in self._reservation_by_job.values()}
+
+    def _preempt(
+        self,
+        now: float,
+        wall_ms: int,
+        state: state_lib.State,
+        job: state_lib.Job,
+        workers: list[str],
+    ) -> list[commands.AnyCommand]:
+        """Asks lower-priority tasks on one worker to make room."""
+        if not workers or job.spec.job in self._reservation_by_job:
+            return []
+        reserved = self._reserved_workers()
+        start = self._rng.randrange(len(workers))
+        best: tuple[str, list[placement.Victim]] | None = None
+        for offset in range(min(len(workers), placement.SCAN_SIZE)):
+            worker_id = workers[(start + offset) % len(workers)]
+            worker = state.worker_by_id.get(worker_id)
+            if worker is None or worker_id in reserved:
+                continue
+            if worker.on_probation or jobs.is_draining(state, worker_id):
+                continue
+            victims = placement.choose_victims(
+                job.spec.needs,
+                jobs.free_capacity(worker),
+                _victims_on(state, worker),
+                job.spec.priority,
+            )
+            if victims and (best is None or len(victims) < len(best[1])):
+                best = (worker_id, victims)
+        if best is None:
+            return []
+        worker_id, victims = best
+        self._reservation_by_job[job.spec.job] = _Reservation(
+            worker_id, now + RESERVATION_S
+        )
+        return [
+            commands.RequestStop(
+                victim.job,
+                state.job_by_id[victim.job].epoch,
+                commands.StopReason.EVICT,
+                wall_ms,
+            )
+            for victim in victims
+        ]
+
+
+def _announcement(
+    request: requests.WorkerHeartbeat, wall_ms: int
+) -> commands.AnnounceWorker:
+    return commands.AnnounceWorker(
+        request.worker,
+        request.incarnation,
+        request.capacity,
+        request.rack,
+        request.domain,
+        wall_ms,
+    )
+
+
+def _is_news(
+    job: state_lib.Job, worker: str, report: requests.TaskReport
+) -> bool:
+    """Tells whether a report would change a job; repeats are dropped."""
+    if job.epoch != report.epoch or job.worker != worker:
+        return False
+    if not job.phase.holds_lease:
+        return False
+    if report.event is commands.TaskEvent.STARTED:
+        return not job.started or report.checkpoint > job.checkpoint
+    if report.event is commands.TaskEvent.CHECKPOINTED:
+        return report.checkpoint > job.checkpoint
+    return True
+
+
+def _start_order(job: state_lib.Job) -> requests.StartOrder:
+    return requests.StartOrder(
+        job=job.spec.job,
+        epoch=job.epoch,
+        checkpoint=job.checkpoint,
+        kind=job.spec.kind,
+        needs=job.spec.needs,
+        payload=job.spec.payload,
+    )
+
+
+def _takes_work(state: state_lib.State, endpoint: state_lib.Endpoint) -> bool:
+    if endpoint.leaving or endpoint.lost:
+        return False
+    return not jobs.is_draining(state, endpoint.announcement.endpoint)
+
+
+def _tasks_of(
+    state: state_lib.State, worker: state_lib.Worker
+) -> tuple[placement.Task, ...]:
+    tasks = []
+    for job_id in worker.jobs:
+        spec = state.job_by_id[job_id].spec
+        tasks.append(placement.Task(job_id, spec.task_class, spec.kind))
+    return tuple(tasks)
+
+
+def _count_classes(
+    state: state_lib.State, worker: state_lib.Worker
+) -> dict[str, int]:
+    count_by_class: dict[str, int] = {}
+    for job_id in worker.jobs:
+        task_class = state.job_by_id[job_id].spec.task_class
+        count_by_class[task_class] = count_by_class.get(task_class, 0) + 1
+    return count_by_class
+
+
+def _victims_on(
+    state: state_lib.State, worker: state_lib.Worker
+) -> list[placement.Victim]:
+    held = [state.job_by_id[job] for job in worker.jobs]
+    return [
+        placement.Victim(job.spec.job, job.spec.needs, job.spec.priority)
+        for job in held
+        if job.phase is state_lib.JobPhase.LEASED and jobs.can_evict(job)
+    ]
+
+
+def _weights(state: state_lib.State) -> commands.PlacementPolicy:
+    known = state.config_by_name.get("placement_policy/default")
+    if known is None or not isinstance(known.item, commands.PlacementPolicy):
+        return commands.PlacementPolicy()
+    return known.item
+
+
+def _in_order(state: state_lib.State, limit: int) -> list[state_lib.Job]:
+    """Returns queued jobs: higher priorities first, teams in turn."""
+    chosen: list[state_lib.Job] = []
+    for priority in sorted(state.queue_by_priority, reverse=True):
+        by_team = state.queue_by_priority[priority]
+        iterators = [iter(by_team[team]) for team in by_team]
+        while iterators and len(chosen) < limit:
+            remaining = []
+            for iterator in iterators:
+                job_id = next(iterator, None)
+                if job_id is None:
+                    continue
+                chosen.append(state.job_by_id[job_id])
+                remaining.append(iterator)
+                if len(chosen) >= limit:
+                    break
+            iterators = remaining
+    return chosen
--- /dev/null
+++ b/fulmarrouter/machine.py
@@ -0,0 +1,28 @@
+"""Applies log entries to the replicated state."""
+
+from fulmarrouter import applying
+from fulmarrouter import codes
+from fulmarrouter import commands
+from fulmarrouter import endpoints
+from fulmarrouter import jobs
+from fulmarrouter import ledger
+from fulmarrouter import record
+from fulmarrouter import sessions
+from fulmarrouter import state as state_lib
+from fulmarrouter import tickets
+from fulmarrouter import workers
+
+HANDLER_MODULES = (endpoints, jobs, ledger, record, sessions, tickets, workers)
+
+
+def apply(
+    state: state_lib.State, index: int, command: commands.AnyCommand
+) -> commands.Result:
+    """Applies one command and returns its result."""
+    handler = applying.HANDLER_BY_COMMAND.get(type(command))
+    if handler is None:
+        return commands.Result(codes.Code.INVALID, type(command).__name__)
+    result = handler(state, index, command)
+    at_ms = getattr(command, "at_ms", 0)
+    state.last_event_ms = max(state.last_event_ms, at_ms)
+    return result
--- /dev/null
+++ b/fulmarrouter/proxy.py
@@ -0,0 +1,461 @@
+"""Carries one caller's request to an endpoint and back, on a web thread."""
+
+import concurrent.futures
+import dataclasses
+import hashlib
+import http.client
+import secrets
+import select
+import socket
+import time
+
+from fulmarrouter import codes
+from fulmarrouter import commands
+from fulmarrouter import errors
+from fulmarrouter import leader_client
+from fulmarrouter import metrics
+from fulmarrouter import requests
+from fulmarrouter import router_task
+from fulmarrouter import routing
+from fulmarrouter import settings as settings_lib
+from fulmarrouter import times
+
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+    )
+)
+KEY_HEADER = "Fulmar-Key"
+REQUEST_ID_HEADER = "Fulmar-Request-Id"
+CONNECT_TIMEOUT_S = 0.5
+MIN_ATTEMPT_S = 0.005
+LEDGER_TIMEOUT_S = 2.0
+SETTLE_TIMEOUT_S = 60.0
+MAX_ATTEMPTS = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerRequest:
+    """A caller's request as read from its connection.
+
+    Attributes:
+        key: Key of a non-idempotent request; empty for an idempotent one.
+        key_is_new: Whether this entry minted the key, so no earlier attempt
+            can exist.
+        arrived_at: Monotonic time of arrival.
+    """
+
+    service: str
+    method: str
+    target: str
+    headers: tuple[commands.Header, ...]
+    body: bytes
+    caller: str
+    key: str
+    key_is_new: bool
+    deadline_ms: int
+    arrived_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerAnswer:
+    """What the caller is told."""
+
+    code: codes.Code
+    answer: commands.Answer | None = None
+    endpoint: str = ""
+    reason: str = ""
+
+
+class _AttemptFailed(errors.RequestError):
+    """An attempt without a whole answer."""
+
+    def __init__(self, code: codes.Code, ending: routing.Ending) -> None:
+        super().__init__(code)
+        self.ending = ending
+
+
+class Proxy:
+    """Serves callers' requests; its methods run on the web server's threads."""
+
+    def __init__(
+        self,
+        settings: settings_lib.EntrySettings,
+        router: router_task.RouterTask,
+        client: leader_client.LeaderClient,
+        registry: metrics.Registry,
+    ) -> None:
+        self._settings = settings
+        self._router = router
+        self._client = client
+        self._metrics = registry
+
+    def serve(self, request: CallerRequest) -> CallerAnswer:
+        """Returns the whole answer, or a code that says what is known."""
+        policy = self._router.policy_of(request.service)
+        limit_ms = min(
+            policy.deadline_ms, self._settings.leases.request_limit_ms
+        )
+        if request.deadline_ms:
+            limit_ms = min(limit_ms, request.deadline_ms)
+        deadline = request.arrived_at + limit_ms / 1000
+        if request.key:
+            answer = self._serve_once(request, deadline)
+        else:
+            answer = self._serve_with_retries(
+                request, deadline, policy.attempt_timeout_ms / 1000
+            )
+        self._count(request, answer)
+        return answer
+
+    def _count(self, request: CallerRequest, answer: CallerAnswer) -> None:
+        elapsed = time.monotonic() - request.arrived_at
+        match answer.code.code_class:
+            case codes.CodeClass.DONE:
+                self._metrics.count("answers", code=answer.code.name)
+                self._metrics.observe("answer_seconds", elapsed)
+            case codes.CodeClass.UNKNOWN:
+                self._metrics.count("unknown", reason=answer.code.name)
+            case _:
+                self._metrics.count("refusals", reason=answer.code.name)
+                self._metrics.observe("refusal_seconds", elapsed)
+
+    # Idempotent requests.
+
+    def _serve_with_retries(
+        self, request: CallerRequest, deadline: float, attempt_timeout: float
+    ) -> CallerAnswer:
+        avoid: frozenset[str] = frozenset()
+        last: CallerAnswer | None = None
+        for attempt in range(MAX_ATTEMPTS):
+            slot = self._get_slot(
+                request, deadline, avoid, attempt > 0, attempt > 0
+            )
+            if isinstance(slot, routing.Refusal):
+                # After an attempt that may have run, only its code is true.
+                return last or CallerAnswer(slot.code)
+            endpoint = slot.assignment.endpoint
+            if last is not None:
+                self._metrics.count("retries", reason=last.code.name)
+            try:
+                answer = self._attempt(request, slot, deadline, attempt_timeout)
+                return CallerAnswer(codes.Code.DONE, answer, endpoint)
+            except _AttemptFailed as failure:
+                if (
+                    last is None
+                    or failure.code is not codes.Code.CONNECT_FAILED
+                ):
+                    last = CallerAnswer(failure.code, endpoint=endpoint)
+                avoid = avoid | {endpoint}
+        assert last is not None
+        return last
+
+    # Non-idempotent requests.
+
+    def _serve_once(
+        self, request: CallerRequest, deadline: float
+    ) -> CallerAnswer:
+        slot = self._get_slot(request, deadline, frozenset(), False, True)
+        if isinstance(slot, routing.Refusal):
+            return self._not_attempted(request, slot.code)
+        nonce = secrets.token_hex(16)
+        intent = self._record_intent(request, slot, nonce, deadline)
+        if intent is not None:
+            self._router.post(
+                router_task.Release(
+                    slot.assignment, routing.Ending.UNUSED, None
+                )
+            )
+            return intent
+        return self._run_once(request, slot, nonce, deadline)
+
+    def _not_attempted(
+        self, request: CallerRequest, code: codes.Code
+    ) -> CallerAnswer:
+        """An earlier attempt with the caller's key may have run."""
+        if request.key_is_new:
+            return CallerAnswer(code)
+        return CallerAnswer(codes.Code.ATTEMPT_NOT_SENT, reason=code.name)
+
+    def _record_intent(
+        self,
+        request: CallerRequest,
+        slot: router_task.Granted,
+        nonce: str,
+        deadline: float,
+    ) -> CallerAnswer | None:
+        """Commits the intent; returns an answer if there is nothing to run."""
+        command = commands.RecordIntent(
+            key=request.key,
+            digest=_digest(request),
+            session=self._router.session,
+            nonce=nonce,
+            endpoint=slot.assignment.endpoint,
+            at_ms=times.wall_ms(),
+        )
+        timeout = min(LEDGER_TIMEOUT_S, deadline - time.monotonic())
+        reply = self._client.ask(requests.Propose(command), timeout).result()
+        if not isinstance(reply, requests.Proposed):
+            # The intent may still be committed, so it has to be taken back.
+            self._settle(request.key, nonce, commands.RunState.NOT_RUN, None)
+            return self._not_attempted(request, codes.Code.LEDGER_UNAVAILABLE)
+        result = reply.result
+        match result.code:
+            case codes.Code.ACCEPTED:
+                return None
+            case codes.Code.REPEATED:
+                return CallerAnswer(codes.Code.REPEATED, result.answer)
+            case codes.Code.SESSION_ENDED:
+                return self._not_attempted(
+                    request, codes.Code.LEDGER_UNAVAILABLE
+                )
+            case _:
+                return CallerAnswer(result.code)
+
+    def _run_once(
+        self,
+        request: CallerRequest,
+        slot: router_task.Granted,
+        nonce: str,
+        deadline: float,
+    ) -> CallerAnswer:
+        endpoint = slot.assignment.endpoint
+        try:
+            left = deadline - time.monotonic()
+            answer = self._attempt(request, slot, deadline, left)
+        except _AttemptFailed as failure:
+            state = commands.RunState.UNKNOWN
+            if failure.code.code_class is codes.CodeClass.NOT_RUN:
+                state = commands.RunState.NOT_RUN
+            settled = self._settle(request.key, nonce, state, None)
+            concurrent.futures.wait([settled], timeout=LEDGER_TIMEOUT_S)
+            return CallerAnswer(failure.code, endpoint=endpoint)
+        kept: commands.Answer | None = answer
+        if len(answer.body) > self._settings.limits.max_kept_answer_bytes:
+            kept = None
+        settled = self._settle(request.key, nonce, commands.RunState.DONE, kept)
+        concurrent.futures.wait([settled], timeout=LEDGER_TIMEOUT_S)
+        return CallerAnswer(codes.Code.DONE, answer, endpoint)
+
+    def _settle(
+        self,
+        key: str,
+        nonce: str,
+        state: commands.RunState,
+        answer: commands.Answer | None,
+    ) -> leader_client.ReplyFuture:
+        outcome = commands.RecordOutcome(
+            key, nonce, state, answer, times.wall_ms()
+        )
+        return self._client.ask(requests.Propose(outcome), SETTLE_TIMEOUT_S)
+
+    # One attempt.
+
+    def _get_slot(
+        self,
+        request: CallerRequest,
+        deadline: float,
+        avoid: frozenset[str],
+        is_retry: bool,
+        fresh: bool,
+    ) -> router_task.Granted | routing.Refusal:
+        slot: router_task.SlotFuture = concurrent.futures.Future()
+        self._router.post(
+            router_task.Admit(
+                service=request.service,
+                caller=request.caller,
+                deadline=deadline,
+                avoid=avoid,
+                is_retry=is_retry,
+                fresh=fresh,
+                slot=slot,
+            )
+        )
+        return slot.result()
+
+    def _attempt(
+        self,
+        request: CallerRequest,
+        slot: router_task.Granted,
+        deadline: float,
+        attempt_timeout: float,
+    ) -> commands.Answer:
+        """Makes one attempt and gives the slot back, whatever happens."""
+        ending = routing.Ending.LOST
+        connection: http.client.HTTPConnection | None = None
+        try:
+            connection = _usable(slot.connection)
+            if connection is None:
+                connection = _connect(slot.assignment, deadline)
+            until = min(deadline, time.monotonic() + attempt_timeout)
+            answer, reusable = _exchange(
+                request,
+                connection,
+                until,
+                deadline,
+                self._settings.limits.max_answer_bytes,
+            )
+            ending = routing.Ending.ANSWERED
+            if not reusable:
+                connection.close()
+                connection = None
+            return answer
+        except _AttemptFailed as failure:
+            ending = failure.ending
+            if connection is not None:
+                connection.close()
+                connection = None
+            raise
+        finally:
+            self._router.post(
+                router_task.Release(slot.assignment, ending, connection)
+            )
+
+
+def _digest(request: CallerRequest) -> str:
+    text = f"{request.service} {request.method} {request.target}\n".encode()
+    return hashlib.sha256(text + request.body).hexdigest()
+
+
+def _usable(
+    connection: http.client.HTTPConnection | None,
+) -> http.client.HTTPConnection | None:
+    """Returns an idle connection unless the endpoint has closed it."""
+    if connection is None or connection.sock is None:
+        return None
+    readable, _, _ = select.select([connection.sock], [], [], 0)
+    if not readable:
+        return connection
+    connection.close()
+    return None
+
+
+def _connect(
+    assignment: routing.Assignment, deadline: float
+) -> http.client.HTTPConnection:
+    left = deadline - time.monotonic()
+    if left < MIN_ATTEMPT_S:
+        raise _AttemptFailed(codes.Code.DEADLINE_PASSED, routing.Ending.UNUSED)
+    connection = http.client.HTTPConnection(
+        assignment.host, assignment.port, timeout=min(CONNECT_TIMEOUT_S, left)
+    )
+    try:
+        connection.connect()
+        connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError as error:
+        connection.close()
+        raise _AttemptFailed(
+            codes.Code.CONNECT_FAILED, routing.Ending.CONNECT_FAILED
+        ) from error
+    return connection
+
+
+def _exchange(
+    request: CallerRequest,
+    connection: http.client.HTTPConnection,
+    until: float,
+    deadline: float,
+    max_bytes: int,
+) -> tuple[commands.Answer, bool]:
+    """Sends the request and reads the whole answer.
+
+    Args:
+        request: What to send.
+        connection: Owned by this call.
+        until: When the answer must have begun.
+        deadline: When it must have ended.
+        max_bytes: Longest body taken.
+
+    Returns:
+        The answer, and whether the connection can be used again.
+    """
+    request_id = secrets.token_hex(8)
+    try:
+        _set_timeout(connection, until)
+        _send(request, connection, request_id)
+        response = connection.getresponse()
+        _set_timeout(connection, deadline)
+        body = _read_body(response, connection, deadline, max_bytes)
+    except TimeoutError as error:
+        raise _AttemptFailed(
+            codes.Code.ENDPOINT_TIMEOUT, routing.Ending.TIMED_OUT
+        ) from error
+    except http.client.IncompleteRead as error:
+        raise _AttemptFailed(
+            codes.Code.PARTIAL_ANSWER, routing.Ending.LOST
+        ) from error
+    except (OSError, http.client.HTTPException) as error:
+        raise _AttemptFailed(
+            codes.Code.CONNECTION_LOST, routing.Ending.LOST
+        ) from error
+    echoed = response.getheader(REQUEST_ID_HEADER)
+    if echoed is not None and echoed != request_id:
+        raise _AttemptFailed(codes.Code.ANSWER_MISMATCH, routing.Ending.LOST)
+    headers = tuple(
+        commands.Header(name, value)
+        for name, value in response.getheaders()
+        if name.lower() not in HOP_HEADERS and name != REQUEST_ID_HEADER
+    )
+    answer = commands.Answer(response.status, headers, body)
+    return answer, not response.will_close
+
+
+def _set_timeout(connection: http.client.HTTPConnection, until: float) -> None:
+    left = until - time.monotonic()
+    if left <= 0:
+        raise TimeoutError
+    if connection.sock is not None:
+        connection.sock.settimeout(left)
+
+
+def _send(
+    request: CallerRequest,
+    connection: http.client.HTTPConnection,
+    request_id: str,
+) -> None:
+    connection.putrequest(
+        request.method, request.target, skip_accept_encoding=True
+    )
+    for header in request.headers:
+        connection.putheader(header.name, header.value)
+    connection.putheader(REQUEST_ID_HEADER, request_id)
+    if request.key:
+        connection.putheader(KEY_HEADER, request.key)
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        connection.putheader("Content-Length", str(len(request.body)))
+    connection.endheaders(request.body or None)
+
+
+def _read_body(
+    response: http.client.HTTPResponse,
+    connection: http.client.HTTPConnection,
+    deadline: float,
+    max_bytes: int,
+) -> bytes:
+    """Reads a body whose end can be told; anything else is not whole."""
+    has_end = response.length is not None or bool(response.chunked)
+    if not has_end:
+        raise http.client.IncompleteRead(b"")
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        _set_timeout(connection, deadline)
+        part = response.read1(1 << 16)
+        if not part:
+            break
+        size += len(part)
+        if size > max_bytes:
+            raise http.client.IncompleteRead(b"")
+        parts.append(part)
+    if response.length:
+        raise http.client.IncompleteRead(b"", response.length)
+    return b"".join(parts)
--- /dev/null
+++ b/fulmarrouter/raft_log.py
@@ -0,0 +1,119 @@
+"""The part of the replicated log held in memory, above the last snapshot."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from fulmarrouter import messages
+
+
+class SnapshotData(msgspec.Struct, frozen=True, array_like=True):
+    """State of the log's prefix up to and with `last_index`."""
+
+    last_index: int = 0
+    last_term: int = 0
+    membership: messages.Membership = messages.Membership()
+    data: bytes = b""
+
+
+class RaftLog:
+    """Entries above a snapshot, addressed by log index."""
+
+    def __init__(
+        self, snapshot: SnapshotData, entries: Sequence[messages.Entry]
+    ) -> None:
+        self.snapshot = snapshot
+        self.base_index = snapshot.last_index
+        self._base_term = snapshot.last_term
+        self._entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        if self._entries:
+            return self._entries[-1].term
+        return self._base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Returns the term at an index, or None where it isn't known."""
+        if index == self.base_index:
+            return self._base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def slice(
+        self, first: int, limit: int, max_bytes: int
+    ) -> tuple[messages.Entry, ...]:
+        """Returns entries from `first` on, bounded in number and bytes.
+
+        At least one entry is returned where there is one.
+        """
+        start = first - self.base_index - 1
+        chosen: list[messages.Entry] = []
+        size = 0
+        for entry in self._entries[start : start + limit]:
+            size += len(entry.data)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def range(self, first: int, last: int) -> list[messages.Entry]:
+        """Returns the entries with indexes from `first` to `last`."""
+        return self._entries[
+            first - self.base_index - 1 : last - self.base_index
+        ]
+
+    def append(self, entry: messages.Entry) -> None:
+        """Adds an entry at the end."""
+        self._entries.append(entry)
+
+    def truncate_from(self, index: int) -> None:
+        """Drops the entry at `index` and all that follow."""
+        del self._entries[index - self.base_index - 1 :]
+
+    def membership_at_end(self) -> tuple[messages.Membership, int]:
+        """Returns the newest membership and the index that carries it."""
+        for entry in reversed(self._entries):
+            if entry.kind is messages.EntryKind.MEMBERS:
+                membership = msgspec.msgpack.decode(
+                    entry.data, type=messages.Membership
+                )
+                return membership, entry.index
+        return self.snapshot.membership, self.base_index
+
+    def membership_at(self, index: int) -> messages.Membership:
+        """Returns the membership in force at an index."""
+        for entry in reversed(self.range(self.base_index + 1, index)):
+            if entry.kind is messages.EntryKind.MEMBERS:
+                return msgspec.msgpack.decode(
+                    entry.data, type=messages.Membership
+                )
+        return self.snapshot.membership
+
+    def compact(self, snapshot: SnapshotData, retain: int) -> None:
+        """Drops what the snapshot covers, but for the last `retain` entries.
+
+        The retained entries let a follower that is a little behind catch up
+        without a snapshot.
+        """
+        base = max(self.base_index, snapshot.last_index - retain)
+        base_term = self.term_at(base)
+        assert base_term is not None
+        self._entries = self.range(base + 1, self.last_index)
+        self.base_index = base
+        self._base_term = base_term
+        self.snapshot = snapshot
+
+    def reset(self, snapshot: SnapshotData) -> None:
+        """Replaces the whole log by a snapshot received from a leader."""
+        self._entries = []
+        self.base_index = snapshot.last_index
+        self._base_term = snapshot.last_term
+        self.snapshot = snapshot
--- /dev/null
+++ b/fulmarrouter/record.py
@@ -0,0 +1,108 @@
+"""The event record: what happened, in log order, within a bound."""
+
+import msgspec
+
+from fulmarrouter import applying
+from fulmarrouter import codes
+from fulmarrouter import commands
+from fulmarrouter import state as state_lib
+
+MAX_EVENTS = 50_000
+TRIM_BATCH = 5_000
+GAP_MS = 2_000
+
+
+def add_event(
+    state: state_lib.State,
+    index: int,
+    at_ms: int,
+    kind: state_lib.EventKind,
+    subject: str,
+    detail: str = "",
+    observer: str = "",
+) -> None:
+    """Appends an event; the oldest are dropped in batches and counted."""
+    state.events.append(
+        state_lib.Event(
+            index, at_ms, observer or state.leader, kind, subject, detail
+        )
+    )
+    if len(state.events) >= MAX_EVENTS + TRIM_BATCH:
+        del state.events[:TRIM_BATCH]
+        state.events_dropped += TRIM_BATCH
+
+
+class Gap(msgspec.Struct, frozen=True):
+    """An interval in which nothing could be recorded."""
+
+    from_ms: int
+    to_ms: int
+
+
+class Account(msgspec.Struct, frozen=True):
+    """Events and gaps of an interval.
+
+    Attributes:
+        complete: False where events of the interval have been dropped.
+    """
+
+    from_ms: int
+    to_ms: int
+    complete: bool
+    events: tuple[state_lib.Event, ...]
+    gaps: tuple[Gap, ...]
+
+
+def account_of(state: state_lib.State, from_ms: int, to_ms: int) -> Account:
+    """Returns the account of an interval."""
+    chosen = tuple(
+        event for event in state.events if from_ms <= event.at_ms <= to_ms
+    )
+    gaps = tuple(
+        Gap(int(event.detail), event.at_ms)
+        for event in state.events
+        if event.kind is state_lib.EventKind.LEADER_ELECTED
+        and event.at_ms - int(event.detail) >= GAP_MS
+        and event.at_ms >= from_ms
+        and int(event.detail) <= to_ms
+    )
+    oldest = state.events[0].at_ms if state.events else 0
+    complete = state.events_dropped == 0 or oldest <= from_ms
+    return Account(from_ms, to_ms, complete, chosen, gaps)
+
+
+@applying.applies(commands.LeaderElected)
+def _leader_elected(
+    state: state_lib.State, index: int, command: commands.LeaderElected
+) -> commands.Result:
+    state.leader = command.keeper
+    last_recorded = state.last_event_ms or command.at_ms
+    add_event(
+        state,
+        index,
+        command.at_ms,
+        state_lib.EventKind.LEADER_ELECTED,
+        command.keeper,
+        str(last_recorded),
+    )
+    return commands.Result(codes.Code.ACCEPTED, index=index)
+
+
+@applying.applies(commands.ReportCounts)
+def _report_counts(
+    state: state_lib.State, index: int, command: commands.ReportCounts
+) -> commands.Result:
+    counts = " ".join(
+        f"{reason}={count}"
+        for reason, count in sorted(command.by_reason.items())
+    )
+    add_event(
+        state,
+        index,
+        command.at_ms,
+        state_lib.EventKind.COUNTS,
+        command.entry,
+        f"from_ms={command.from_ms} {counts}",
+        observer=command.entry,
+    )
+    return commands.Result(codes.Code.ACCEPTED, index=index)
--- /dev/null
+++ b/fulmarrouter/settings.py
@@ -0,0 +1,245 @@
+"""Settings: read from YAML and checked in full before anything starts."""
+
+import enum
+import pathlib
+from typing import Annotated
+from typing import Any
+
+import msgspec
+import yaml
+
+from fulmarrouter import commands
+from fulmarrouter import errors
+from fulmarrouter import leader
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=600_000)]
+Host = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
+Folder = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class Role(enum.Enum):
+    """Which processes a settings file starts."""
+
+    ENTRY = "entry"
+    KEEPER = "keeper"
+    STANDALONE = "standalone"
+
+
+class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An address to listen on, by IP number."""
+
+    host: Host
+    port: Port
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of an entry.
+
+    Attributes:
+        max_in_progress: Requests of callers admitted at the same time.
+        max_connections: Open HTTP connections.
+        max_body_bytes: Size of a request's body.
+        max_header_bytes: Size of a request's header.
+        max_answer_bytes: Size of an endpoint's answer.
+        max_kept_answer_bytes: Size of an answer kept in the ledger.
+        idle_timeout_ms: How long a caller's connection may be idle.
+        drain_notice_ms: How long requests are still taken after the health
+            check has begun to fail.
+    """
+
+    max_in_progress: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 64
+    max_connections: Annotated[int, msgspec.Meta(ge=16, le=10_000)] = 500
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 23)] = 1 << 20
+    max_header_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 18)] = (
+        1 << 14
+    )
+    max_answer_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 28)] = (
+        1 << 24
+    )
+    max_kept_answer_bytes: Annotated[int, msgspec.Meta(ge=0, le=1 << 20)] = (
+        1 << 16
+    )
+    idle_timeout_ms: Milliseconds = 15_000
+    drain_notice_ms: Milliseconds = 1_000
+
+
+class Leases(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Lease lengths and heartbeat intervals; the same in every process."""
+
+    worker_lease_ms: Milliseconds = 6_000
+    worker_heartbeat_ms: Milliseconds = 1_000
+    entry_lease_ms: Milliseconds = 3_000
+    entry_heartbeat_ms: Milliseconds = 300
+    endpoint_lease_ms: Milliseconds = 3_000
+    endpoint_heartbeat_ms: Milliseconds = 500
+    request_limit_ms: Milliseconds = 10_000
+
+    def to_seconds(self) -> leader.LeaseSettings:
+        """Returns the leader's view of these settings."""
+        return leader.LeaseSettings(
+            worker_lease=self.worker_lease_ms / 1000,
+            worker_heartbeat=self.worker_heartbeat_ms / 1000,
+            entry_lease=self.entry_lease_ms / 1000,
+            endpoint_lease=self.endpoint_lease_ms / 1000,
+            endpoint_heartbeat=self.endpoint_heartbeat_ms / 1000,
+            request_limit=self.request_limit_ms / 1000,
+        )
+
+
+class Election(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Timeouts of the replicated log."""
+
+    heartbeat_ms: Milliseconds = 100
+    timeout_min_ms: Milliseconds = 1_000
+    timeout_max_ms: Milliseconds = 2_000
+
+
+Keepers = Annotated[
+    tuple[commands.KeeperAddress, ...],
+    msgspec.Meta(min_length=1, max_length=commands.MAX_KEEPERS),
+]
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of an entry process."""
+
+    role: Role
+    name: commands.Name
+    domain: commands.Name
+    listen_http: Listen
+    keepers: Keepers
+    limits: Limits = Limits()
+    leases: Leases = Leases()
+
+
+class KeeperSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of a keeper process."""
+
+    role: Role
+    name: commands.Name
+    domain: commands.Name
+    listen: Listen
+    listen_http: Listen
+    data_folder: Folder
+    keepers: Keepers
+    leases: Leases = Leases()
+    election: Election = Election()
+
+
+class StandaloneSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Settings of a keeper and an entry in one process."""
+
+    role: Role
+    name: commands.Name
+    domain: commands.Name
+    listen: Listen
+    listen_http: Listen
+    data_folder: Folder
+    limits: Limits = Limits()
+    leases: Leases = Leases()
+    election: Election = Election()
+
+
+AnySettings = EntrySettings | KeeperSettings | StandaloneSettings
+
+SETTINGS_BY_ROLE: dict[str, type[AnySettings]] = {
+    Role.ENTRY.value: EntrySettings,
+    Role.KEEPER.value: KeeperSettings,
+    Role.STANDALONE.value: StandaloneSettings,
+}
+
+
+def load(path: pathlib.Path) -> AnySettings:
+    """Reads and checks a settings file.
+
+    Raises:
+        SettingsError: Holds every problem found, not just the first.
+    """
+    try:
+        given = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        raise errors.SettingsError([f"{path}: {error}"]) from error
+    if not isinstance(given, dict):
+        raise errors.SettingsError([f"{path}: expected a mapping of settings"])
+    role = given.get("role")
+    settings_type = SETTINGS_BY_ROLE.get(str(role))
+    if settings_type is None:
+        allowed = ", ".join(SETTINGS_BY_ROLE)
+        raise errors.SettingsError(
+            [f"{path}: role: given {role!r}, allowed are {allowed}"]
+        )
+    problems = _check_struct(settings_type, given, "")
+    if not problems:
+        settings = msgspec.convert(given, type=settings_type)
+        problems = _check_rules(settings)
+        if not problems:
+            return settings
+    raise errors.SettingsError([f"{path}: {problem}" for problem in problems])
+
+
+def _check_struct(
+    struct: type[msgspec.Struct], given: dict[Any, Any], prefix: str
+) -> list[str]:
+    """Checks each field on its own, so that all problems are found."""
+    problems: list[str] = []
+    fields = {field.name: field for field in msgspec.structs.fields(struct)}
+    for key in given:
+        if key not in fields:
+            allowed = ", ".join(fields)
+            problems.append(
+                f"{prefix}{key}: unknown key, allowed are {allowed}"
+            )
+    for name, field in fields.items():
+        if name not in given:
+            if field.required:
+                problems.append(f"{prefix}{name}: missing")
+            continue
+        value = given[name]
+        is_struct = isinstance(field.type, type) and issubclass(
+            field.type, msgspec.Struct
+        )
+        if is_struct and isinstance(value, dict):
+            problems += _check_struct(field.type, value, f"{prefix}{name}.")
+            continue
+        try:
+            msgspec.convert(value, type=field.type)
+        except msgspec.ValidationError as error:
+            problems.append(
+                f"{prefix}{name}: given {value!r}, allowed: {error}"
+            )
+    return problems
+
+
+def _check_rules(settings: AnySettings) -> list[str]:
+    """Checks what depends on more than one key."""
+    problems: list[str] = []
+    leases = settings.leases
+    for kind in ("worker", "entry", "endpoint"):
+        lease_ms = getattr(leases, f"{kind}_lease_ms")
+        heartbeat_ms = getattr(leases, f"{kind}_heartbeat_ms")
+        if lease_ms < 2 * heartbeat_ms:
+            problems.append(
+                f"leases.{kind}_lease_ms: given {lease_ms}, allowed: at least"
+                f" twice leases.{kind}_heartbeat_ms ({heartbeat_ms})"
+            )
+    if not isinstance(settings, EntrySettings):
+        election = settings.election
+        if election.timeout_max_ms <= election.timeout_min_ms:
+            problems.append(
+                f"election.timeout_max_ms: given {election.timeout_max_ms},"
+                f" allowed: more than timeout_min_ms ({election.timeout_min_ms})"
+            )
+        if election.timeout_min_ms < 3 * election.heartbeat_ms:
+            problems.append(
+                f"election.timeout_min_ms: given {election.timeout_min_ms},"
+                f" allowed: at least three times heartbeat_ms"
+                f" ({election.heartbeat_ms})"
+            )
+    if not isinstance(settings, StandaloneSettings):
+        ids = [item.keeper for item in settings.keepers]
+        if len(set(ids)) != len(ids):
+            problems.append("keepers: a keeper is named twice")
+    return problems
--- /dev/null
+++ b/fulmarrouter/sharing.py
@@ -0,0 +1,166 @@
+"""Divides the slots of endpoints among the entries, by demand."""
+
+import dataclasses
+
+from fulmarrouter import commands
+from fulmarrouter import endpoints
+from fulmarrouter import state as state_lib
+
+DEMAND_FLOOR = 1.0
+MOVE_THRESHOLD = 0.15
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What to do about shares.
+
+    Attributes:
+        grants: Commands that hand out free slots.
+        target_by_share: Slots that a session should come down to, by
+            (session, endpoint); shares not named stay as they are.
+    """
+
+    grants: list[commands.SetShare]
+    target_by_share: dict[tuple[int, str], int]
+
+
+def wanted_slots(
+    total: int, demand_by_session: dict[int, float]
+) -> dict[int, int]:
+    """Divides a number of slots by demand, in whole slots, none left over.
+
+    Each session has a floor of demand, so that an idle entry can serve its
+    first requests at once.
+    """
+    if not demand_by_session:
+        return {}
+    weight_by_session = {
+        session: max(demand, DEMAND_FLOOR)
+        for session, demand in demand_by_session.items()
+    }
+    weight_sum = sum(weight_by_session.values())
+    exact = {
+        session: total * weight / weight_sum
+        for session, weight in weight_by_session.items()
+    }
+    wanted = {session: int(value) for session, value in exact.items()}
+    by_remainder = sorted(
+        exact, key=lambda session: (wanted[session] - exact[session], session)
+    )
+    for session in by_remainder[: total - sum(wanted.values())]:
+        wanted[session] += 1
+    return wanted
+
+
+def plan_service(
+    endpoint_by_id: dict[str, state_lib.Endpoint],
+    demand_by_session: dict[int, float],
+) -> Plan:
+    """Plans the shares of one service's endpoints that take new work."""
+    total = sum(item.announcement.slots for item in endpoint_by_id.values())
+    wanted = wanted_slots(total, demand_by_session)
+    held = {
+        session: sum(
+            item.share_by_session[session].slots
+            for item in endpoint_by_id.values()
+            if session in item.share_by_session
+        )
+        for session in wanted
+    }
+    free_by_endpoint = {
+        endpoint_id: max(0, endpoints.free_share(item).slots)
+        for endpoint_id, item in endpoint_by_id.items()
+    }
+    added: dict[tuple[int, str], int] = {}
+    hungriest = sorted(
+        wanted, key=lambda session: (held[session] - wanted[session], session)
+    )
+    for session in hungriest:
+        missing = wanted[session] - held[session]
+        while missing > 0:
+            endpoint_id = _roomiest(free_by_endpoint)
+            if endpoint_id is None:
+                break
+            free_by_endpoint[endpoint_id] -= 1
+            added[session, endpoint_id] = (
+                added.get((session, endpoint_id), 0) + 1
+            )
+            missing -= 1
+    grants = [
+        _grant(endpoint_by_id[endpoint_id], session, count)
+        for (session, endpoint_id), count in sorted(added.items())
+    ]
+    return Plan(grants, _targets(endpoint_by_id, wanted, held, added))
+
+
+def _roomiest(free_by_endpoint: dict[str, int]) -> str | None:
+    best = max(
+        sorted(free_by_endpoint),
+        key=lambda item: free_by_endpoint[item],
+        default=None,
+    )
+    if best is None or free_by_endpoint[best] == 0:
+        return None
+    return best
+
+
+def _grant(
+    endpoint: state_lib.Endpoint, session: int, added: int
+) -> commands.SetShare:
+    share = endpoint.share_by_session.get(session, state_lib.Share(0, 0))
+    slots = share.slots + added
+    return set_share(endpoint, session, slots)
+
+
+def set_share(
+    endpoint: state_lib.Endpoint, session: int, slots: int
+) -> commands.SetShare:
+    """Returns the command that sets a session's slots on an endpoint.
+
+    Connections are divided in proportion to slots.
+    """
+    announcement = endpoint.announcement
+    per_slot = announcement.connections // announcement.slots
+    share = endpoint.share_by_session.get(session, state_lib.Share(0, 0))
+    return commands.SetShare(
+        endpoint=announcement.endpoint,
+        session=session,
+        slots=slots,
+        connections=slots * per_slot,
+        expected_version=share.version,
+    )
+
+
+def _targets(
+    endpoint_by_id: dict[str, state_lib.Endpoint],
+    wanted: dict[int, int],
+    held: dict[int, int],
+    added: dict[tuple[int, str], int],
+) -> dict[tuple[int, str], int]:
+    """Returns what sessions with more than they need should give back."""
+    still_missing = sum(
+        max(0, wanted[session] - held[session]) for session in wanted
+    ) - sum(added.values())
+    targets: dict[tuple[int, str], int] = {}
+    richest = sorted(
+        wanted, key=lambda session: (wanted[session] - held[session], session)
+    )
+    for session in richest:
+        surplus = held[session] - wanted[session]
+        threshold = max(1.0, MOVE_THRESHOLD * held[session])
+        if surplus < threshold or still_missing <= 0:
+            continue
+        surplus = min(surplus, still_missing)
+        still_missing -= surplus
+        slots_by_endpoint = {
+            endpoint_id: item.share_by_session[session].slots
+            for endpoint_id, item in endpoint_by_id.items()
+            if session in item.share_by_session
+        }
+        for _ in range(surplus):
+            endpoint_id = _roomiest(slots_by_endpoint)
+            if endpoint_id is None:
+                break
+            slots_by_endpoint[endpoint_id] -= 1
+            targets[session, endpoint_id] = slots_by_endpoint[endpoint_id]
+    return targets
--- /dev/null
+++ b/fulmarrouter/storage.py
@@ -0,0 +1,270 @@
+"""A keeper's files: one log of checksummed records, and one snapshot.
+
+Each record of the log holds what one sync makes durable, so a crash can leave
+at most one damaged record, and only at the end. A damaged record that valid
+ones follow is damage of another kind, and the keeper refuses to start.
+"""
+
+import os
+import pathlib
+import struct
+import zlib
+
+import msgspec
+
+from fulmarrouter import consensus
+from fulmarrouter import errors
+from fulmarrouter import messages
+from fulmarrouter import raft_log
+
+LOG_NAME = "log"
+SNAPSHOT_NAME = "snapshot"
+_MAGIC = b"FLG1"
+_HEADER = struct.Struct("<4sII")
+FORMAT_VERSION = 1
+
+
+class _Record(msgspec.Struct, frozen=True, array_like=True):
+    """Payload of one log record."""
+
+    hard_state: consensus.HardState | None
+    entries: tuple[messages.Entry, ...]
+
+
+class _SnapshotFile(msgspec.Struct, frozen=True, array_like=True):
+    """Payload of the snapshot file."""
+
+    version: int
+    snapshot: raft_log.SnapshotData
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_RECORD_DECODER = msgspec.msgpack.Decoder(_Record)
+_SNAPSHOT_DECODER = msgspec.msgpack.Decoder(_SnapshotFile)
+
+
+def _frame(payload: bytes) -> bytes:
+    return _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)) + payload
+
+
+def _read_record(data: bytes, offset: int) -> bytes | None:
+    """Returns the valid payload at an offset, or None."""
+    if offset + _HEADER.size > len(data):
+        return None
+    magic, length, checksum = _HEADER.unpack_from(data, offset)
+    start = offset + _HEADER.size
+    payload = data[start : start + length]
+    if magic != _MAGIC or len(payload) != length:
+        return None
+    if zlib.crc32(payload) != checksum:
+        return None
+    return payload
+
+
+def _has_record_after(data: bytes, offset: int) -> bool:
+    """Tells whether a valid record starts anywhere after an offset."""
+    position = data.find(_MAGIC, offset + 1)
+    while position != -1:
+        if _read_record(data, position) is not None:
+            return True
+        position = data.find(_MAGIC, position + 1)
+    return False
+
+
+def _merge(
+    entries: list[messages.Entry], added: tuple[messages.Entry, ...]
+) -> list[messages.Entry]:
+    """Appends entries; the first one replaces all from its index on."""
+    if not added:
+        return entries
+    kept = entries
+    if entries and added[0].index <= entries[-1].index:
+        kept = entries[: max(0, added[0].index - entries[0].index)]
+    if kept and added[0].index != kept[-1].index + 1:
+        raise errors.CorruptStorageError(
+            f"log entry {added[0].index} follows entry {kept[-1].index}"
+        )
+    kept.extend(added)
+    return kept
+
+
+class Storage:
+    """The data folder of one keeper. Not shared between tasks."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.bytes_written = 0
+        self.syncs = 0
+        self._file: int = -1
+        self._hard_state = consensus.HardState()
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+        except OSError as error:
+            raise errors.StorageError(f"{folder}: {error}") from error
+
+    def load(self) -> consensus.Saved:
+        """Reads what is stored and opens the log for writing.
+
+        Raises:
+            CorruptStorageError: A stored record is damaged and was synced.
+            StorageError: The folder can't be read or written.
+        """
+        try:
+            snapshot = self._load_snapshot()
+            entries = self._load_log()
+            self._open_log()
+        except OSError as error:
+            raise errors.StorageError(f"{self.folder}: {error}") from error
+        above = [
+            entry for entry in entries if entry.index > snapshot.last_index
+        ]
+        if above and above[0].index != snapshot.last_index + 1:
+            raise errors.CorruptStorageError(
+                f"log starts at {above[0].index}, snapshot ends at"
+                f" {snapshot.last_index}"
+            )
+        return consensus.Saved(self._hard_state, snapshot, tuple(above))
+
+    def write(
+        self, output: consensus.Output, retained: list[messages.Entry]
+    ) -> None:
+        """Stores and syncs a replica's output.
+
+        Args:
+            output: What the replica wants stored.
+            retained: Entries above the snapshot, for an installed snapshot.
+
+        Raises:
+            StorageError: Nothing of this output may be acknowledged.
+        """
+        try:
+            if output.hard_state is not None:
+                self._hard_state = output.hard_state
+            if output.installed is not None:
+                self._store_snapshot(output.installed)
+                self._rewrite_log(retained)
+                return
+            payload = _ENCODER.encode(
+                _Record(output.hard_state, tuple(output.entries))
+            )
+            self._append(payload)
+        except OSError as error:
+            raise errors.StorageError(f"{self.folder}: {error}") from error
+
+    def store_snapshot(
+        self, snapshot: raft_log.SnapshotData, entries: list[messages.Entry]
+    ) -> None:
+        """Replaces the snapshot and the log by a snapshot and what follows it."""
+        try:
+            self._store_snapshot(snapshot)
+            self._rewrite_log(entries)
+        except OSError as error:
+            raise errors.StorageError(f"{self.folder}: {error}") from error
+
+    def close(self) -> None:
+        """Closes the log."""
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+
+    def _load_snapshot(self) -> raft_log.SnapshotData:
+        path = self.folder / SNAPSHOT_NAME
+        if not path.exists():
+            return raft_log.SnapshotData()
+        payload = _read_record(path.read_bytes(), 0)
+        if payload is None:
+            raise errors.CorruptStorageError(f"{path}: damaged snapshot")
+        stored = _SNAPSHOT_DECODER.decode(payload)
+        if stored.version != FORMAT_VERSION:
+            raise errors.CorruptStorageError(
+                f"{path}: format {stored.version}, expected {FORMAT_VERSION}"
+            )
+        return stored.snapshot
+
+    def _load_log(self) -> list[messages.Entry]:
+        path = self.folder / LOG_NAME
+        if not path.exists():
+            return []
+        data = path.read_bytes()
+        entries: list[messages.Entry] = []
+        offset = 0
+        while offset < len(data):
+            payload = _read_record(data, offset)
+            if payload is None:
+                self._cut_tail(path, data, offset)
+                break
+            record = _RECORD_DECODER.decode(payload)
+            if record.hard_state is not None:
+                self._hard_state = record.hard_state
+            entries = _merge(entries, record.entries)
+            offset += _HEADER.size + len(payload)
+        return entries
+
+    def _cut_tail(self, path: pathlib.Path, data: bytes, offset: int) -> None:
+        if _has_record_after(data, offset):
+            raise errors.CorruptStorageError(
+                f"{path}: damaged record at byte {offset}, valid ones follow"
+            )
+        with path.open("r+b") as file:
+            file.truncate(offset)
+            os.fsync(file.fileno())
+
+    def _open_log(self) -> None:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._file = os.open(self.folder / LOG_NAME, flags, 0o600)
+        self._sync_folder()
+
+    def _append(self, payload: bytes) -> None:
+        data = _frame(payload)
+        written = 0
+        while written < len(data):
+            written += os.write(self._file, data[written:])
+        os.fdatasync(self._file)
+        self.bytes_written += len(data)
+        self.syncs += 1
+
+    def _store_snapshot(self, snapshot: raft_log.SnapshotData) -> None:
+        payload = _ENCODER.encode(_SnapshotFile(FORMAT_VERSION, snapshot))
+        self._replace(SNAPSHOT_NAME, _frame(payload))
+
+    def _rewrite_log(self, entries: list[messages.Entry]) -> None:
+        payload = _ENCODER.encode(_Record(self._hard_state, tuple(entries)))
+        self.close()
+        self._replace(LOG_NAME, _frame(payload))
+        self._open_log()
+
+    def _replace(self, name: str, data: bytes) -> None:
+        temporary = self.folder / (name + ".new")
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(temporary, self.folder / name)
+        self._sync_folder()
+        self.bytes_written += len(data)
+        self.syncs += 1
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self.folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def initialize(
+    folder: pathlib.Path, membership: messages.Membership, state: bytes
+) -> bool:
+    """Founds a quorum: stores the first snapshot in an empty folder.
+
+    Returns:
+        False where the folder already holds a log, which is left alone.
+    """
+    storage = Storage(folder)
+    saved = storage.load()
+    is_empty = saved.snapshot.last_index == 0 and not saved.entries
+    if is_empty:
+        snapshot = raft_log.SnapshotData(1, 1, membership, state)
+        storage.store_snapshot(snapshot, [])
+    storage.close()
+    return is_empty
--- /dev/null
+++ b/fulmarrouter/times.py
@@ -0,0 +1,27 @@
+"""Readings of the wall clock, for people; leases use the monotonic clock."""
+
+import datetime
+import time
+
+
+def wall_ms() -> int:
+    """Returns the wall clock in milliseconds since 1970."""
+    return int(time.time() * 1000)
+
+
+def to_text(at_ms: int) -> str:
+    """Returns a reading as ISO 8601 text in UTC."""
+    moment = datetime.datetime.fromtimestamp(at_ms / 1000, tz=datetime.UTC)
+    return moment.isoformat(timespec="milliseconds")
+
+
+def from_text(text: str) -> int:
+    """Returns the milliseconds of an ISO 8601 time; without a zone it is UTC.
+
+    Raises:
+        ValueError: The text is no such time.
+    """
+    moment = datetime.datetime.fromisoformat(text)
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return int(moment.timestamp() * 1000)
--- /dev/null
+++ b/fulmarrouter/web.py
@@ -0,0 +1,275 @@
+"""HTTP server side: routes, JSON answers, and the waitress task."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import time
+from typing import Any
+from typing import TypeVar
+import urllib.parse
+
+import msgspec
+from waitress import wasyncore
+import waitress.server
+
+from fulmarrouter import codes
+from fulmarrouter import commands
+from fulmarrouter import errors
+from fulmarrouter import logs
+from fulmarrouter import settings as settings_lib
+from fulmarrouter import tasks
+
+FLUSH_TIMEOUT_S = 2.0
+JSON_TYPE = "application/json"
+CODE_HEADER = "Fulmar-Code"
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """An HTTP request.
+
+    Attributes:
+        path: Decoded path, without the query.
+        target: Path and query as the caller sent them.
+        headers: Header fields by lower-case name.
+    """
+
+    method: str
+    path: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    remote: str
+    arrived_at: float
+
+    @property
+    def query(self) -> dict[str, str]:
+        """The query's first value for each name."""
+        parts = urllib.parse.urlsplit(self.target)
+        return dict(urllib.parse.parse_qsl(parts.query))
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """An HTTP answer."""
+
+    status: int
+    body: bytes
+    headers: tuple[commands.Header, ...] = ()
+
+
+Handler = Callable[[Request], Response]
+T = TypeVar("T")
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Body of an answer that carries a result code."""
+
+    code: int
+    name: str
+    result: str
+    reason: str
+
+
+def code_response(
+    code: codes.Code, reason: str = "", key: str = ""
+) -> Response:
+    """Returns the answer for a result code without an endpoint's answer."""
+    headers = [
+        commands.Header("Content-Type", JSON_TYPE),
+        commands.Header(CODE_HEADER, str(code.value)),
+    ]
+    if key:
+        headers.append(commands.Header("Fulmar-Key", key))
+    if code is codes.Code.OVERLOADED:
+        headers.append(commands.Header("Retry-After", "1"))
+    body = ErrorBody(
+        code.value, code.name, code.code_class.name.lower(), reason
+    )
+    return Response(
+        codes.http_status(code), msgspec.json.encode(body), tuple(headers)
+    )
+
+
+def json_response(
+    value: object, code: codes.Code = codes.Code.DONE
+) -> Response:
+    """Returns a value as JSON."""
+    headers = (
+        commands.Header("Content-Type", JSON_TYPE),
+        commands.Header(CODE_HEADER, str(code.value)),
+    )
+    return Response(
+        codes.http_status(code), msgspec.json.encode(value), headers
+    )
+
+
+def text_response(text: str, status: int = 200) -> Response:
+    """Returns plain text."""
+    header = commands.Header("Content-Type", "text/plain; charset=utf-8")
+    return Response(status, text.encode(), (header,))
+
+
+def decode_json(body: bytes, type_: type[T]) -> T:
+    """Decodes a JSON body.
+
+    Raises:
+        RequestError: The body is no valid JSON of that type.
+    """
+    try:
+        return msgspec.json.decode(body, type=type_)
+    except msgspec.DecodeError as error:
+        raise errors.RequestError(codes.Code.BAD_REQUEST, str(error)) from error
+
+
+class App:
+    """A WSGI application made of routes.
+
+    A route's path may end in `/*`, which takes everything below it.
+    """
+
+    def __init__(self) -> None:
+        self._log = logs.get(task="web")
+        self._exact: dict[str, dict[str, Handler]] = {}
+        self._below: dict[str, dict[str, Handler]] = {}
+
+    def route(
+        self, methods: tuple[str, ...], path: str
+    ) -> Callable[[Handler], Handler]:
+        """Registers the decorated function for methods and a path."""
+
+        def register(handler: Handler) -> Handler:
+            table = self._exact
+            known_path = path
+            if path.endswith("/*"):
+                table = self._below
+                known_path = path[:-1]
+            by_method = table.setdefault(known_path, {})
+            for method in methods:
+                by_method[method] = handler
+            return handler
+
+        return register
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., object]
+    ) -> Iterable[bytes]:
+        """Serves one request."""
+        response = self._respond(_read_request(environ))
+        reason = (
+            f"{response.status} {'OK' if response.status < 400 else 'Error'}"
+        )
+        headers = [(item.name, item.value) for item in response.headers]
+        headers.append(("Content-Length", str(len(response.body))))
+        start_response(reason, headers)
+        return [response.body]
+
+    def _respond(self, request: Request) -> Response:
+        try:
+            return self._find(request)(request)
+        except errors.RequestError as error:
+            return code_response(error.code, error.reason)
+        except Exception as error:
+            # One request's failure must not take the web thread with it.
+            self._log.error(
+                "request failed", path=request.path, error=repr(error)
+            )
+            failure = code_response(
+                codes.Code.OUTCOME_UNKNOWN, "internal error"
+            )
+            return dataclasses.replace(failure, status=500)
+
+    def _find(self, request: Request) -> Handler:
+        by_method = self._exact.get(request.path)
+        if by_method is None:
+            for prefix, known in self._below.items():
+                if request.path.startswith(prefix):
+                    by_method = known
+                    break
+        if by_method is None:
+            raise errors.RequestError(codes.Code.NOT_FOUND, request.path)
+        handler = by_method.get(request.method) or by_method.get("*")
+        if handler is None:
+            allowed = ", ".join(sorted(by_method))
+            raise errors.RequestError(
+                codes.Code.METHOD_NOT_ALLOWED, f"allowed are {allowed}"
+            )
+        return handler
+
+
+def _read_request(environ: dict[str, Any]) -> Request:
+    headers = {
+        name[5:].replace("_", "-").lower(): str(value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    path = str(environ.get("PATH_INFO", "/"))
+    target = urllib.parse.quote(path, safe="/:@!$&'()*+,;=~-._")
+    if environ.get("QUERY_STRING"):
+        target += "?" + environ["QUERY_STRING"]
+    return Request(
+        method=str(environ["REQUEST_METHOD"]),
+        path=path,
+        target=target,
+        headers=headers,
+        body=environ["wsgi.input"].read(),
+        remote=str(environ.get("REMOTE_ADDR", "")),
+        arrived_at=time.monotonic(),
+    )
+
+
+class WebTask(tasks.Task[None]):
+    """Owns the HTTP listening socket and the web threads."""
+
+    name = "web"
+
+    def __init__(
+        self,
+        app: App,
+        listen: settings_lib.Listen,
+        threads: int,
+        limits: settings_lib.Limits,
+    ) -> None:
+        super().__init__()
+        try:
+            self._server = waitress.server.create_server(
+                app,
+                host=listen.host,
+                port=listen.port,
+                threads=threads,
+                connection_limit=limits.max_connections,
+                channel_timeout=limits.idle_timeout_ms // 1000 or 1,
+                cleanup_interval=5,
+                max_request_body_size=limits.max_body_bytes,
+                max_request_header_size=limits.max_header_bytes,
+                asyncore_use_poll=True,
+                ident="fulmarrouter",
+                clear_untrusted_proxy_headers=True,
+            )
+        except OSError as error:
+            raise errors.AddressError(
+                f"{listen.host}:{listen.port}: {error}"
+            ) from error
+
+    def run(self) -> None:
+        """Serves until stopped."""
+        self._server.run()
+        self._server.task_dispatcher.shutdown()
+
+    def stop(self) -> None:
+        """Closes the server once all answers have been written."""
+        until = time.monotonic() + FLUSH_TIMEOUT_S
+        while self._is_writing() and time.monotonic() < until:
+            time.sleep(0.02)
+        self._server.trigger.pull_trigger(self._close)
+
+    def _is_writing(self) -> bool:
+        return any(
+            channel.requests or channel.total_outbufs_len
+            for channel in list(self._server.active_channels.values())
+        )
+
+    def _close(self) -> None:
+        wasyncore.close_all(map=self._server._map, ignore_all=True)
