--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,31 @@
+Feature: Settings, codes and frames
+
+  Scenario Outline: Settings are checked in full
+    Given the example "<file>" with <key> set to <value>
+    When the settings are checked
+    Then the problems name <problems>
+
+    Examples:
+      | file                       | key                     | value     | problems                |
+      | standalone.yaml            | name                    | "local"   | nothing                 |
+      | standalone.yaml            | name                    | "a b"     | name                    |
+      | standalone.yaml            | listen_http.port        | 70000     | listen_http.port        |
+      | standalone.yaml            | colour                  | 1         | colour                  |
+      | standalone.yaml            | role                    | "boss"    | role                    |
+      | standalone.yaml            | listen.host             | "example" | listen.host             |
+      | standalone.yaml            | limits                  | {"max_in_progress": 0, "max_body_bytes": "x"} | limits.max_in_progress, limits.max_body_bytes |
+      | standalone.yaml            | leases                  | {"worker_lease_ms": 100} | leases.worker_lease_ms |
+      | hedegaard/keeper-k1.yaml   | election                | {"timeout_min_ms": 100} | election.timeout_min_ms |
+      | hedegaard/entry-e1.yaml    | keepers                 | []        | keepers                 |
+      | passdesk/entry-e10.yaml    | domain                  | null      | domain                  |
+
+  Scenario: Every example is valid
+    Then all settings in examples are valid
+
+  Scenario: The tables of codes in the docs agree with the program
+    Then docs/CODES.md lists every result code and exit code
+
+  Scenario: Frames
+    When 200 random messages are encoded and decoded
+    Then each comes back as it was
+    And damaged frames are refused
--- /dev/null
+++ b/features/steps/core_steps.py
@@ -0,0 +1,383 @@
+"""Steps over the pure core, the data folder, settings and frames."""
+
+import errno
+import json
+import os
+import pathlib
+import random
+import re
+import threading
+from typing import Any
+from unittest import mock
+
+import behave
+import hypothesis
+import msgspec
+import yaml
+from hypothesis import strategies
+
+from features.support import histories
+from features.support import mutations
+from fulmarrouter import codes
+from fulmarrouter import commands
+from fulmarrouter import consensus
+from fulmarrouter import errors
+from fulmarrouter import messages
+from fulmarrouter import settings as settings_lib
+from fulmarrouter import storage
+from fulmarrouter import wire
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+DOCS = pathlib.Path(__file__).parents[2] / "docs"
+FOUND = messages.Membership((commands.KeeperAddress("k1", "127.0.0.1", 1),))
+
+
+def derandomized(examples: int) -> Any:
+    """Settings under which every run makes the same examples."""
+    return hypothesis.settings(
+        max_examples=examples, derandomize=True, deadline=None, database=None
+    )
+
+
+# Histories.
+
+
+@behave.when("{examples:d} histories of {faults:d} faults are run")
+def run_histories(context: Any, examples: int, faults: int) -> None:
+    context.violation = None
+    histories.run_machine(examples, faults)
+
+
+def _run_seeds(kind: str, first: int, last: int) -> str | None:
+    for seed in range(first, last + 1):
+        try:
+            histories.KIND_BY_NAME[kind](seed)
+        except AssertionError as error:
+            return f"seed {seed}: {error}"
+    return None
+
+
+@behave.when('the "{kind}" histories with seeds from {first:d} to {last:d} are run')
+def run_seeds(context: Any, kind: str, first: int, last: int) -> None:
+    context.violation = _run_seeds(kind, first, last)
+
+
+@behave.when(
+    '"{mechanism}" and the "{kind}" histories with seeds from {first:d} to'
+    " {last:d} are run"
+)
+def run_mutated(context: Any, mechanism: str, kind: str, first: int, last: int) -> None:
+    with mutations.applied(mechanism):
+        context.violation = _run_seeds(kind, first, last)
+
+
+@behave.then("no invariant is broken")
+def nothing_broken(context: Any) -> None:
+    assert context.violation is None, context.violation
+
+
+@behave.then("an invariant is broken")
+def something_broken(context: Any) -> None:
+    assert context.violation is not None
+
+
+@behave.given("a leader that has been rejected by a follower")
+def rejected_leader(context: Any) -> None:
+    names = ("k1", "k2", "k3")
+    membership = messages.Membership(
+        tuple(commands.KeeperAddress(name, "127.0.0.1", 1) for name in names)
+    )
+    snapshot = storage.raft_log.SnapshotData(1, 1, membership, b"")
+    saved = consensus.Saved(consensus.HardState(), snapshot, ())
+    replica = consensus.Replica(
+        "k1", saved, consensus.Timing(), random.Random(1), 0.0
+    )
+    replica.tick(10.0)
+    replica.step(10.0, "k2", messages.VoteReply(term=1, granted=True, pre=True))
+    replica.step(10.0, "k2", messages.VoteReply(term=1, granted=True, pre=False))
+    assert replica.is_leader
+    for number in range(5):
+        replica.propose(b"%d" % number)
+    replica.flush(10.0)
+    replica.take_output()
+    context.replica = replica
+
+
+@behave.when("the same rejection arrives {count:d} times")
+def reject(context: Any, count: int) -> None:
+    rejection = messages.AppendReply(
+        term=1, success=False, match_index=0, prev_index=1, round=0, blank=False
+    )
+    for _ in range(count):
+        context.replica.step(10.0, "k2", rejection)
+
+
+@behave.then("at most {limit:d} messages are sent to the follower")
+def few_messages(context: Any, limit: int) -> None:
+    output = context.replica.take_output()
+    sent = [item for item in output.before_sync if item.to == "k2"]
+    assert len(sent) <= limit, len(sent)
+
+
+# Data folder.
+
+
+def _write_log(folder: pathlib.Path, records: int) -> storage.Storage:
+    storage.initialize(folder, FOUND, b"state")
+    store = storage.Storage(folder)
+    store.load()
+    for index in range(2, 2 + records):
+        _append(store, index)
+    return store
+
+
+def _append(store: storage.Storage, index: int) -> None:
+    entry = messages.Entry(index, 1, messages.EntryKind.COMMAND, b"x" * 20)
+    store.write(consensus.Output(entries=[entry]), [])
+
+
+@behave.given("a log of {records:d} synced records")
+def write_log(context: Any, records: int) -> None:
+    context.store = _write_log(context.folder / "data", records)
+    context.log_path = context.folder / "data" / storage.LOG_NAME
+
+
+@behave.when("nothing happens")
+def nothing(context: Any) -> None:
+    del context
+
+
+@behave.when("the last {count:d} bytes are cut off")
+def cut_bytes(context: Any, count: int) -> None:
+    data = context.log_path.read_bytes()
+    context.log_path.write_bytes(data[:-count])
+
+
+def _flip(path: pathlib.Path, position: int) -> None:
+    data = bytearray(path.read_bytes())
+    data[position] ^= 0x40
+    path.write_bytes(bytes(data))
+
+
+@behave.when("a byte of the last record is flipped")
+def flip_last(context: Any) -> None:
+    _flip(context.log_path, context.log_path.stat().st_size - 5)
+
+
+@behave.when("a byte of record {number:d} is flipped")
+def flip_record(context: Any, number: int) -> None:
+    data = context.log_path.read_bytes()
+    starts = [match.start() for match in re.finditer(b"FLG1", data)]
+    _flip(context.log_path, starts[number] + 14)
+
+
+@behave.when("the snapshot is damaged")
+def damage_snapshot(context: Any) -> None:
+    _flip(context.folder / "data" / storage.SNAPSHOT_NAME, 20)
+
+
+@behave.when("garbage follows the last record")
+def add_garbage(context: Any) -> None:
+    with context.log_path.open("ab") as file:
+        file.write(b"FLG1garbage")
+
+
+@behave.then("loading it gives {count:d} entries")
+def load_log(context: Any, count: int) -> None:
+    context.store.close()
+    saved = storage.Storage(context.folder / "data").load()
+    assert len(saved.entries) == count, len(saved.entries)
+
+
+@behave.then("loading it is refused")
+def load_refused(context: Any) -> None:
+    try:
+        storage.Storage(context.folder / "data").load()
+    except errors.CorruptStorageError:
+        return
+    raise AssertionError("a damaged log was loaded")
+
+
+@behave.when("a write fails with {name}")
+def fail_write(context: Any, name: str) -> None:
+    failure = OSError(getattr(errno, name), name)
+    context.failed = False
+    with mock.patch.object(os, "write", side_effect=failure):
+        try:
+            _append(context.store, 5)
+        except errors.StorageError:
+            context.failed = True
+
+
+@behave.then("the write is reported as failed")
+def write_failed(context: Any) -> None:
+    assert context.failed
+
+
+@behave.when("{examples:d} random logs are cut at random places")
+def cut_random_logs(context: Any, examples: int) -> None:
+    numbers = iter(range(10_000))
+
+    @derandomized(examples)
+    @hypothesis.given(
+        records=strategies.integers(0, 8), share=strategies.floats(0.0, 1.0)
+    )
+    def check(records: int, share: float) -> None:
+        folder = context.folder / str(next(numbers))
+        _write_log(folder, records).close()
+        path = folder / storage.LOG_NAME
+        size = path.stat().st_size
+        os.truncate(path, int(size * share))
+        saved = storage.Storage(folder).load()
+        indexes = [entry.index for entry in saved.entries]
+        assert indexes == list(range(2, 2 + len(indexes)))
+        assert share < 1.0 or len(indexes) == records
+
+    context.check = check
+
+
+@behave.then("each loads as a prefix of what was written")
+def check_prefixes(context: Any) -> None:
+    context.check()
+
+
+# Settings, codes and frames.
+
+
+@behave.given('the example "{file}" with {key} set to {value}')
+def change_example(context: Any, file: str, key: str, value: str) -> None:
+    given = yaml.safe_load((EXAMPLES / file).read_text())
+    target = given
+    *parents, last = key.split(".")
+    for parent in parents:
+        target = target.setdefault(parent, {})
+    target[last] = json.loads(value)
+    context.path = context.folder / "settings.yaml"
+    context.path.write_text(yaml.safe_dump(given))
+
+
+@behave.when("the settings are checked")
+def check_settings(context: Any) -> None:
+    context.problems = []
+    try:
+        settings_lib.load(context.path)
+    except errors.SettingsError as error:
+        context.problems = error.problems
+
+
+@behave.then("the problems name {names}")
+def name_problems(context: Any, names: str) -> None:
+    wanted = [] if names == "nothing" else names.split(", ")
+    assert len(context.problems) == len(wanted), context.problems
+    for name, problem in zip(wanted, context.problems, strict=True):
+        assert problem.startswith(f"{context.path}: {name}:"), problem
+
+
+@behave.then("all settings in examples are valid")
+def examples_valid(context: Any) -> None:
+    del context
+    paths = sorted(EXAMPLES.rglob("*.yaml"))
+    loaded = [settings_lib.load(path) for path in paths if path.parent.name != "work"]
+    assert len(loaded) >= 25, len(loaded)
+
+
+@behave.then("docs/CODES.md lists every result code and exit code")
+def codes_documented(context: Any) -> None:
+    del context
+    text = (DOCS / "CODES.md").read_text()
+    listed = set(re.findall(r"^\| (\d+) \| ([A-Z_]+) \|", text, re.MULTILINE))
+    wanted = {(str(code.value), code.name) for code in codes.Code}
+    wanted |= {(str(code.value), code.name) for code in codes.ExitCode}
+    assert listed == wanted, listed ^ wanted
+
+
+_NUMBER = strategies.integers(0, 2**40)
+_BODY = strategies.one_of(
+    strategies.builds(
+        messages.VoteRequest,
+        term=_NUMBER,
+        last_index=_NUMBER,
+        last_term=_NUMBER,
+        pre=strategies.booleans(),
+    ),
+    strategies.builds(
+        messages.AppendReply,
+        term=_NUMBER,
+        success=strategies.booleans(),
+        match_index=_NUMBER,
+        prev_index=_NUMBER,
+        round=_NUMBER,
+        blank=strategies.booleans(),
+    ),
+    strategies.builds(
+        messages.Append,
+        term=_NUMBER,
+        prev_index=_NUMBER,
+        prev_term=_NUMBER,
+        commit=_NUMBER,
+        round=_NUMBER,
+        entries=strategies.lists(
+            strategies.builds(
+                messages.Entry,
+                index=_NUMBER,
+                term=_NUMBER,
+                kind=strategies.sampled_from(messages.EntryKind),
+                data=strategies.binary(max_size=40),
+            ),
+            max_size=4,
+        ).map(tuple),
+    ),
+    strategies.builds(
+        messages.SnapshotChunk,
+        term=_NUMBER,
+        last_index=_NUMBER,
+        last_term=_NUMBER,
+        membership=strategies.just(FOUND),
+        offset=_NUMBER,
+        data=strategies.binary(max_size=40),
+        done=strategies.booleans(),
+        to_learner=strategies.booleans(),
+        round=_NUMBER,
+    ),
+    strategies.builds(wire.Call, id=_NUMBER, payload=strategies.binary(max_size=40)),
+)
+
+
+@behave.when("{examples:d} random messages are encoded and decoded")
+def encode_frames(context: Any, examples: int) -> None:
+    context.examples = examples
+
+
+@behave.then("each comes back as it was")
+def frames_same(context: Any) -> None:
+    @derandomized(context.examples)
+    @hypothesis.given(body=_BODY)
+    def check(body: wire.Body) -> None:
+        frame = wire.encode("k1", body)
+        assert wire.decode(frame[wire.LENGTH.size :]) == wire.Envelope("k1", body)
+
+    check()
+
+
+@behave.then("damaged frames are refused")
+def frames_refused(context: Any) -> None:
+    @derandomized(context.examples)
+    @hypothesis.given(data=strategies.binary(max_size=64))
+    def check(data: bytes) -> None:
+        try:
+            wire.decode(data)
+        except errors.WireError:
+            return
+
+    check()
+
+
+
+
+def in_threads(actions: list[Any]) -> None:
+    """Runs functions at the same time and waits for them all."""
+    threads = [threading.Thread(target=action) for action in actions]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
--- /dev/null
+++ b/features/steps/decision_steps.py
@@ -0,0 +1,399 @@
+"""Steps over tickets, the ledger, jobs, placement and routing."""
+
+import random
+from typing import Any
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from features.steps import core_steps
+from fulmarrouter import budgets
+from fulmarrouter import codes
+from fulmarrouter import commands
+from fulmarrouter import leader
+from fulmarrouter import machine
+from fulmarrouter import requests
+from fulmarrouter import routing
+from fulmarrouter import sharing
+from fulmarrouter import state as state_lib
+
+
+class Log:
+    """Applies commands one after the other, as a keeper would."""
+
+    def __init__(self) -> None:
+        self.state = state_lib.State()
+        self.index = 0
+
+    def apply(self, command: commands.AnyCommand) -> commands.Result:
+        self.index += 1
+        return machine.apply(self.state, self.index, command)
+
+
+def _ticket(number: int, service: str, value: int) -> commands.SubmitTicket:
+    item = commands.ServicePolicy(name=service, deadline_ms=value)
+    return commands.SubmitTicket(number, (item,))
+
+
+@behave.given("the accepted tickets {before}")
+def accepted_tickets(context: Any, before: str) -> None:
+    context.machine = Log()
+    if before != "none":
+        number, service, value = before.split()
+        context.machine.apply(_ticket(int(number), service, int(value)))
+
+
+@behave.when('ticket {number:d} sets the deadline of "{service}" to {value:d}')
+def submit_ticket(context: Any, number: int, service: str, value: int) -> None:
+    context.result = context.machine.apply(_ticket(number, service, value))
+
+
+@behave.then("the result is {name}")
+def result_is(context: Any, name: str) -> None:
+    assert context.result.code is codes.Code[name], context.result
+
+
+def _intent(session: int, nonce: str, digest: str = "same") -> commands.RecordIntent:
+    return commands.RecordIntent("key", digest, session, nonce, "p1", 0)
+
+
+@behave.given("a key that was {before}")
+def key_before(context: Any, before: str) -> None:
+    log = Log()
+    context.machine = log
+    context.session = log.apply(commands.OpenSession("e1", "n", "d", 0)).index
+    if before == "never seen":
+        return
+    log.apply(_intent(context.session, "first"))
+    states = {
+        "answered": commands.RunState.DONE,
+        "answered without a copy": commands.RunState.DONE,
+        "not run": commands.RunState.NOT_RUN,
+        "of unknown outcome": commands.RunState.UNKNOWN,
+    }
+    if before in states:
+        answer = commands.Answer(200, (), b"x") if before == "answered" else None
+        log.apply(commands.RecordOutcome("key", "first", states[before], answer, 0))
+    elif before == "begun by a session that ended":
+        log.apply(commands.EndSession(context.session, True, 0))
+        context.session = log.apply(commands.OpenSession("e2", "n", "d", 0)).index
+
+
+@behave.when("the key is sent again with {body}")
+def key_again(context: Any, body: str) -> None:
+    digest = "same" if body == "the same body" else "other"
+    context.result = context.machine.apply(_intent(context.session, "second", digest))
+
+
+def _worker(name: str, millicores: int = 4000, incarnation: int = 1) -> Any:
+    capacity = commands.Resources(millicores, 64_000, 0)
+    return commands.AnnounceWorker(name, incarnation, capacity)
+
+
+def _spec(name: str, millicores: int = 1000, **options: Any) -> commands.JobSpec:
+    needs = commands.Resources(millicores, 100, 0)
+    return commands.JobSpec(name, "team", needs=needs, **options)
+
+
+@behave.given("a job that is {kind} and runs on a worker")
+def running_job(context: Any, kind: str) -> None:
+    log = Log()
+    context.machine = log
+    log.apply(_worker("w1"))
+    spec = _spec(
+        "j", idempotent=kind == "idempotent", checkpoints=kind == "checkpointing"
+    )
+    log.apply(commands.SubmitJob(spec, 0))
+    log.apply(commands.GrantLease("j", "w1", 1, 1, 0))
+
+
+def _report(log: Log, event: commands.TaskEvent, checkpoint: int = 0) -> None:
+    log.apply(commands.ReportTask("j", 1, "w1", event, checkpoint, 0, 0))
+
+
+@behave.when("the worker could not start it")
+def not_started(context: Any) -> None:
+    _report(context.machine, commands.TaskEvent.NOT_STARTED)
+
+
+@behave.when("the worker reports {event}")
+def worker_reports(context: Any, event: str) -> None:
+    _report(context.machine, commands.TaskEvent.STARTED)
+    events = {
+        "success": commands.TaskEvent.SUCCEEDED,
+        "failure": commands.TaskEvent.FAILED,
+    }
+    _report(context.machine, events[event])
+
+
+@behave.when("the worker falls silent")
+def worker_silent(context: Any) -> None:
+    reason = commands.EndReason.EXPIRED
+    context.machine.apply(commands.EndLease("j", 1, reason, 0))
+
+
+@behave.when("the worker restarts")
+def worker_restarts(context: Any) -> None:
+    context.machine.apply(_worker("w1", incarnation=2))
+
+
+@behave.when("the worker is evicted {where}")
+def worker_evicts(context: Any, where: str) -> None:
+    _report(context.machine, commands.TaskEvent.STARTED)
+    context.machine.apply(
+        commands.RequestStop("j", 1, commands.StopReason.EVICT, 0)
+    )
+    checkpoint = 3 if where == "at a checkpoint" else 0
+    _report(context.machine, commands.TaskEvent.STOPPED, checkpoint)
+
+
+@behave.when("the worker is cancelled")
+def worker_cancels(context: Any) -> None:
+    context.machine.apply(commands.CancelJobs(("j",), 0))
+    _report(context.machine, commands.TaskEvent.STOPPED)
+
+
+@behave.when("the worker is cancelled and falls silent")
+def worker_cancels_silent(context: Any) -> None:
+    context.machine.apply(commands.CancelJobs(("j",), 0))
+    worker_silent(context)
+
+
+@behave.then("the job is {phase}")
+def job_is(context: Any, phase: str) -> None:
+    job = context.machine.state.job_by_id["j"]
+    assert job.phase is state_lib.JobPhase(phase), job.phase
+    worker = context.machine.state.worker_by_id["w1"]
+    assert worker.committed == commands.Resources(), worker.committed
+
+
+class Fleet:
+    """A leader with workers that run each task within one heartbeat."""
+
+    def __init__(self, workers: int, bad: int, millicores: int = 4000) -> None:
+        self.log = Log()
+        self.leader = leader.Leader(leader.LeaseSettings(), random.Random(7))
+        self.leader.take_office(0.0, self.log.state)
+        self.now = 0.0
+        self.bad = {f"w{number}" for number in range(bad)}
+        self.hopeless: set[str] = set()
+        self.millicores = millicores
+        self.workers = [f"w{number}" for number in range(workers)]
+        self.runs_tasks = True
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.25
+            for worker in self.workers:
+                self._heartbeat(worker)
+            for command in self.leader.tick(self.now, 0, self.log.state):
+                self.log.apply(command)
+
+    def _heartbeat(self, worker: str) -> None:
+        known = self.log.state.worker_by_id.get(worker)
+        reports = []
+        for job, epoch in dict(known.jobs if known else {}).items():
+            event = commands.TaskEvent.SUCCEEDED
+            if worker in self.bad or job in self.hopeless:
+                event = commands.TaskEvent.FAILED
+            if self.runs_tasks:
+                reports.append(requests.TaskReport(job, epoch, event))
+        request = requests.WorkerHeartbeat(
+            worker,
+            1,
+            commands.Resources(self.millicores, 64_000, 0),
+            reports=tuple(reports),
+        )
+        for command in self.leader.on_worker_heartbeat(
+            self.now, 0, self.log.state, request
+        ):
+            self.log.apply(command)
+
+
+@behave.given("{workers:d} workers of which {bad:d} fail everything")
+def fleet(context: Any, workers: int, bad: int) -> None:
+    context.fleet = Fleet(workers, bad)
+
+
+@behave.when("{jobs:d} idempotent jobs of which {hopeless:d} always fail are run")
+def run_jobs(context: Any, jobs: int, hopeless: int) -> None:
+    names = [f"j{number}" for number in range(jobs)]
+    context.fleet.hopeless = set(names[:hopeless])
+    context.fleet.run(1.0)
+    for name in names:
+        spec = _spec(name, idempotent=True)
+        context.fleet.log.apply(commands.SubmitJob(spec, 0))
+    context.fleet.run(60.0)
+
+
+@behave.then("{done:d} jobs are done and {quarantined:d} are quarantined")
+def jobs_done(context: Any, done: int, quarantined: int) -> None:
+    phases = [job.phase for job in context.fleet.log.state.job_by_id.values()]
+    assert phases.count(state_lib.JobPhase.DONE) == done, phases
+    assert phases.count(state_lib.JobPhase.QUARANTINED) == quarantined, phases
+
+
+@behave.then("at most {limit:d} workers are on probation")
+def on_probation(context: Any, limit: int) -> None:
+    workers = context.fleet.log.state.worker_by_id.values()
+    assert sum(worker.on_probation for worker in workers) <= limit
+
+
+@behave.given("a worker with {millicores:d} millicores and a quota of {quota}")
+def worker_and_quota(context: Any, millicores: int, quota: str) -> None:
+    context.machine = Log()
+    context.machine.apply(_worker("w1", millicores))
+    if quota != "none":
+        limit = commands.Resources(int(quota), 64_000, 0)
+        item = commands.TeamQuota(name="team", limit=limit)
+        context.machine.apply(commands.SubmitTicket(1, (item,)))
+
+
+@behave.when("a job that needs {millicores:d} millicores is submitted")
+def submit_needy(context: Any, millicores: int) -> None:
+    spec = _spec("j", millicores)
+    context.result = context.machine.apply(commands.SubmitJob(spec, 0))
+
+
+@behave.given("a worker that is full of {count:d} checkpointing jobs")
+def full_worker(context: Any, count: int) -> None:
+    context.fleet = Fleet(1, 0)
+    context.fleet.runs_tasks = False
+    context.fleet.run(1.0)
+    for number in range(count):
+        spec = _spec(f"j{number}", checkpoints=True)
+        context.fleet.log.apply(commands.SubmitJob(spec, 0))
+    context.fleet.run(2.0)
+    phases = [job.phase for job in context.fleet.log.state.job_by_id.values()]
+    assert phases == [state_lib.JobPhase.LEASED] * count, phases
+
+
+@behave.when("an urgent job of the size of {size:d} is submitted")
+def submit_urgent(context: Any, size: int) -> None:
+    spec = _spec("urgent", 1000 * size, priority=commands.Priority.URGENT)
+    context.fleet.log.apply(commands.SubmitJob(spec, 0))
+    context.fleet.run(1.0)
+
+
+@behave.then("{count:d} jobs are asked to stop and the urgent job is granted next")
+def urgent_granted(context: Any, count: int) -> None:
+    log = context.fleet.log
+    stopping = [
+        job
+        for job in log.state.job_by_id.values()
+        if job.phase is state_lib.JobPhase.STOPPING
+    ]
+    assert len(stopping) == count, stopping
+    for job in stopping:
+        log.apply(
+            commands.ReportTask(
+                job.spec.job, 1, "w0", commands.TaskEvent.STOPPED, 5, 0, 0
+            )
+        )
+    context.fleet.run(1.0)
+    urgent = log.state.job_by_id["urgent"]
+    assert urgent.phase is state_lib.JobPhase.LEASED, urgent
+
+
+@behave.when("{examples:d} random demands are divided")
+def divide(context: Any, examples: int) -> None:
+    context.examples = examples
+
+
+@behave.then("no slot is left over or given twice")
+def divided(context: Any) -> None:
+    @core_steps.derandomized(context.examples)
+    @hypothesis.given(
+        total=strategies.integers(0, 500),
+        demands=strategies.lists(strategies.floats(0, 1e4), min_size=1, max_size=12),
+    )
+    def check(total: int, demands: list[float]) -> None:
+        wanted = sharing.wanted_slots(total, dict(enumerate(demands)))
+        assert sum(wanted.values()) == total
+        assert min(wanted.values()) >= 0
+
+    check()
+
+
+@behave.when(
+    "{count:d} requests all fail and are retried with a budget of {percent:d} percent"
+)
+def retry_all(context: Any, count: int, percent: int) -> None:
+    budget = budgets.RetryBudget()
+    context.retries = 0
+    for _ in range(count):
+        budget.on_first_try(percent)
+        context.retries += budget.take()
+
+
+@behave.then("at most {limit:d} retries are admitted")
+def retries_admitted(context: Any, limit: int) -> None:
+    assert 0 < context.retries <= limit, context.retries
+
+
+def _router(endpoints: int, slots: int, queue_limit: int) -> routing.Router:
+    router = routing.Router(3.0, random.Random(3))
+    views = tuple(
+        requests.EndpointView(
+            f"p{number}", 1, "booking", "127.0.0.1", 1, "", True, slots, 64, 1, slots
+        )
+        for number in range(endpoints)
+    )
+    policy = commands.ServicePolicy(name="booking", queue_limit=queue_limit)
+    router.open_session(1)
+    router.apply_view(
+        0.0, requests.EntryView(3000, "v", True, 1, views, (policy,), ())
+    )
+    return router
+
+
+def _wanted(ticket: int, caller: str) -> routing.Wanted:
+    return routing.Wanted(ticket, "booking", caller, 2.0)
+
+
+@behave.when(
+    "one caller sends {count:d} requests to a full service with a queue of {limit:d}"
+)
+def fill_queue(context: Any, count: int, limit: int) -> None:
+    router = _router(1, 1, limit)
+    router.admit(0.0, _wanted(0, "first"))
+    context.router = router
+    context.results = [
+        router.admit(0.0, _wanted(number, "greedy")) for number in range(1, count + 1)
+    ]
+
+
+@behave.then("{count:d} of them are queued")
+def queued(context: Any, count: int) -> None:
+    assert context.results.count(None) == count
+    refused = [item for item in context.results if item is not None]
+    assert {item.code for item in refused} == {codes.Code.CALLER_SHARE_EXCEEDED}
+
+
+@behave.then("another caller's request is still queued")
+def other_queued(context: Any) -> None:
+    assert context.router.admit(0.0, _wanted(999, "modest")) is None
+
+
+@behave.when("all {endpoints:d} endpoints of a service fail {times:d} times")
+def fail_all(context: Any, endpoints: int, times: int) -> None:
+    router = _router(endpoints, 4, 10)
+    context.router = router
+    context.endpoints = endpoints
+    for number in range(endpoints * times):
+        assignment = router.admit(0.0, _wanted(number, "c"))
+        assert isinstance(assignment, routing.Assignment)
+        router.release(0.0, assignment, routing.Ending.LOST)
+
+
+@behave.then("at most {limit:d} endpoints are ejected")
+def few_ejected(context: Any, limit: int) -> None:
+    used = set()
+    for number in range(200):
+        assignment = context.router.admit(0.0, _wanted(10_000 + number, "c"))
+        assert isinstance(assignment, routing.Assignment)
+        used.add(assignment.endpoint)
+        context.router.release(0.0, assignment, routing.Ending.UNUSED)
+    assert len(used) >= context.endpoints - limit, used
--- /dev/null
+++ b/features/steps/process_steps.py
@@ -0,0 +1,628 @@
+"""Steps over real processes."""
+
+import concurrent.futures
+import itertools
+import json
+import pathlib
+import re
+import socket
+import threading
+import time
+from typing import Any
+
+import behave
+
+from features.steps import core_steps
+from features.support import deployment as deployment_lib
+from features.support import fakes
+from features.support import relay
+
+READY_TIMEOUT_S = 20.0
+
+
+@behave.given("a deployment of {keepers:d} keepers and {entries:d} entries")
+def start_deployment(context: Any, keepers: int, entries: int) -> None:
+    folder = pathlib.Path(context.folder) / "deployment"
+    context.deployment = deployment_lib.Deployment(folder, keepers, entries)
+    context.deployment.start()
+    context.endpoints = []
+    context.workers = []
+    context.killed = ""
+
+
+@behave.given("a fake endpoint")
+def one_endpoint(context: Any) -> None:
+    some_endpoints(context, 1)
+
+
+@behave.given("{count:d} fake endpoints")
+def some_endpoints(context: Any, count: int) -> None:
+    for number in range(1, count + 1):
+        _add_endpoint(context, fakes.FakeEndpoint(f"p{number}", _entries(context)))
+    assert deployment_lib.wait_until(lambda: _serves(context)), "no endpoint serves"
+
+
+def _add_endpoint(context: Any, endpoint: fakes.FakeEndpoint) -> None:
+    context.endpoints.append(endpoint.start())
+    context.fakes.append(endpoint)
+
+
+@behave.given("{count:d} fake workers")
+def some_workers(context: Any, count: int) -> None:
+    for number in range(1, count + 1):
+        worker = fakes.FakeWorker(f"w{number}", _entries(context)).start()
+        context.workers.append(worker)
+        context.fakes.append(worker)
+
+
+def _entries(context: Any) -> list[str]:
+    addresses: list[str] = context.deployment.entries
+    return addresses
+
+
+def _call(context: Any, *arguments: Any, **options: Any) -> deployment_lib.Answer | None:
+    """Calls any entry that answers."""
+    for address in _entries(context):
+        try:
+            return deployment_lib.call(address, *arguments, **options)
+        except OSError:
+            continue
+    return None
+
+
+def _serves(context: Any) -> bool:
+    answers = []
+    for name, address in context.deployment.entry_addresses.items():
+        if not context.deployment.process_by_name[name].alive:
+            continue
+        try:
+            answers.append(deployment_lib.call(address, "GET", "/call/booking/up"))
+        except OSError:
+            return False
+    return bool(answers) and all(answer.status == 200 for answer in answers)
+
+
+# Bad input.
+
+
+@behave.then("these requests are answered")
+def requests_answered(context: Any) -> None:
+    problems = []
+    for row in context.table:
+        headers = dict([row["headers"].split(": ")]) if row["headers"] else {}
+        path = row["path"].replace(" ", "%20")
+        body = row["body"].encode() if row["body"] else None
+        answer = deployment_lib.call(
+            _entries(context)[0], row["method"], path, body, headers
+        )
+        if (answer.status, answer.code) != (int(row["status"]), int(row["code"])):
+            problems.append((list(row), answer.status, answer.code, answer.body))
+    assert not problems, problems
+
+
+@behave.then("a body over the bound is refused with status {status:d}")
+def large_body(context: Any, status: int) -> None:
+    answer = deployment_lib.call(
+        _entries(context)[0], "POST", "/call/booking/x", b"x" * (1 << 21)
+    )
+    assert answer.status == status, answer.status
+
+
+@behave.then("a client that stays silent after half a header harms nothing")
+def half_open(context: Any) -> None:
+    host, port = _entries(context)[0].split(":")
+    with socket.create_connection((host, int(port))) as client:
+        client.sendall(b"GET /call/booking/yards HTTP/1.1\r\nHost: x")
+        assert _serves(context)
+
+
+# Graceful stop and leaving.
+
+
+@behave.when(
+    'entry "{name}" is asked to stop while {count:d} requests are in progress'
+    " through it"
+)
+def stop_entry(context: Any, name: str, count: int) -> None:
+    address = context.deployment.entry_addresses[name]
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        answers = [
+            pool.submit(
+                deployment_lib.call,
+                address,
+                "GET",
+                "/call/booking/sleep/1.2",
+                None,
+                {"Fulmar-Deadline-Ms": "3000"},
+            )
+            for _ in range(count)
+        ]
+        time.sleep(0.4)
+        context.exit_code = context.deployment.process_by_name[name].terminate()
+        context.answers = [answer.result() for answer in answers]
+
+
+@behave.then("all {count:d} requests get their whole answer")
+def whole_answers(context: Any, count: int) -> None:
+    bodies = [answer.body for answer in context.answers]
+    assert bodies == [b"GET /sleep/1.2 "] * count, bodies
+
+
+@behave.then('entry "{name}" has exited with code {code:d}')
+def exited(context: Any, name: str, code: int) -> None:
+    del name
+    assert context.exit_code == code, context.exit_code
+
+
+@behave.when("one endpoint announces that it is leaving under load")
+def leave(context: Any) -> None:
+    load = Load(context, keyed=False)
+    load.start()
+    time.sleep(1.0)
+    leaving = context.endpoints[0]
+    leaving.leaving.set()
+    time.sleep(2.0)
+    context.seen = len(leaving.paths)
+    time.sleep(2.0)
+    load.stop()
+    context.load = load
+
+
+@behave.then("it gets no request later than {limit:g} seconds after that")
+def no_late_requests(context: Any, limit: float) -> None:
+    del limit
+    leaving = context.endpoints[0]
+    assert 0 < context.seen == len(leaving.paths), (context.seen, len(leaving.paths))
+    assert leaving.last_reply["shares_held"] == 0, leaving.last_reply
+
+
+@behave.then("no request has failed")
+def none_failed(context: Any) -> None:
+    assert context.load.done > 20, context.load.done
+    assert not context.load.failures, context.load.failures[:5]
+
+
+@behave.given("a fake endpoint behind a relay")
+def relayed_endpoint(context: Any) -> None:
+    endpoint = fakes.FakeEndpoint("p1", _entries(context))
+    context.relay = relay.Relay(endpoint.port)
+    context.relays.append(context.relay)
+    endpoint.port = context.relay.port
+    _add_endpoint(context, endpoint)
+    assert deployment_lib.wait_until(lambda: _serves(context))
+
+
+@behave.when("the relay goes silent on the connections that are open")
+def go_silent(context: Any) -> None:
+    assert _serves(context)
+    context.relay.silence_open()
+
+
+@behave.then("the next {count:d} idempotent requests are answered")
+def idempotent_answered(context: Any, count: int) -> None:
+    for _ in range(count):
+        answer = _call(context, "GET", "/call/booking/yards")
+        assert answer is not None and answer.status == 200, answer
+
+
+@behave.then("the next non-idempotent request is answered")
+def keyed_answered(context: Any) -> None:
+    context.relay.silence_open()
+    answer = _call(context, "POST", "/call/booking/run", b"x", {"Fulmar-Key": "k"})
+    assert answer is not None and answer.code == 1000, answer
+
+
+# Load and faults.
+
+
+class Load:
+    """Callers that send requests, keyed or not, until they are stopped."""
+
+    CALLERS = 4
+
+    def __init__(self, context: Any, keyed: bool) -> None:
+        self._context = context
+        self._keyed = keyed
+        self._stopped = threading.Event()
+        self._numbers = itertools.count()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,), daemon=True)
+            for number in range(self.CALLERS)
+        ]
+        self.done = 0
+        self.failures: list[object] = []
+        self.said_not_run: set[str] = set()
+
+    def start(self) -> None:
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, caller: int) -> None:
+        while not self._stopped.is_set():
+            key = f"key-{caller}-{next(self._numbers)}"
+            # Each key is sent up to three times, through different entries.
+            for attempt in range(3 if self._keyed else 1):
+                if self._send(key, caller + attempt):
+                    break
+            time.sleep(0.01)
+
+    def _send(self, key: str, turn: int) -> bool:
+        addresses = _entries(self._context)
+        address = addresses[turn % len(addresses)]
+        method, headers = "GET", {}
+        if self._keyed:
+            method, headers = "POST", {"Fulmar-Key": key}
+        try:
+            answer = deployment_lib.call(
+                address, method, f"/call/booking/{key}", b"", headers
+            )
+        except OSError as error:
+            self.failures.append(error)
+            return False
+        if answer.code in (1000, 1002):
+            self.done += 1
+            return True
+        self.failures.append((answer.code, answer.body))
+        is_not_run = 2000 <= answer.code < 3000
+        if is_not_run:
+            self.said_not_run.add(key)
+        else:
+            self.said_not_run.discard(key)
+        return False
+
+
+@behave.given("load of keyed requests and jobs")
+def start_load(context: Any) -> None:
+    assert deployment_lib.wait_until(lambda: len(_workers_alive(context)) == 2)
+    for number in range(12):
+        job = {
+            "job": f"job-{number}",
+            "team": "billing",
+            "idempotent": number % 2 == 0,
+            "checkpoints": number % 3 == 0,
+            "needs": {"millicores": 1000, "memory_mb": 10},
+            "payload": "2.5",
+        }
+        answer = _call(context, "POST", "/v1/jobs", job)
+        assert answer is not None and answer.code == 1001, answer
+    context.load = Load(context, keyed=True)
+    context.load.start()
+    time.sleep(0.7)
+
+
+def _workers_alive(context: Any) -> list[Any]:
+    answer = _call(context, "GET", "/v1/workers")
+    workers = answer.json()["workers"] if answer and answer.status == 200 else []
+    return [worker for worker in workers if worker["alive"]]
+
+
+def _kill(context: Any, name: str) -> None:
+    context.killed = name
+    context.deployment.process_by_name[name].kill()
+
+
+def _follower(context: Any) -> str:
+    leader = context.deployment.leader()
+    return next(
+        name
+        for name in context.deployment.keeper_addresses
+        if name != leader and context.deployment.process_by_name[name].alive
+    )
+
+
+@behave.when("the leader is killed")
+def kill_leader(context: Any) -> None:
+    _kill(context, context.deployment.leader())
+
+
+@behave.when("a follower is killed")
+def kill_follower(context: Any) -> None:
+    _kill(context, _follower(context))
+
+
+@behave.when("another keeper is killed")
+def kill_another(context: Any) -> None:
+    _kill(context, "k1")
+
+
+@behave.when("an entry is killed")
+def kill_entry(context: Any) -> None:
+    _kill(context, "e1")
+
+
+@behave.when("the leader and an entry are killed together")
+def kill_both(context: Any) -> None:
+    leader = context.deployment.leader()
+    _kill(context, "e1")
+    _kill(context, leader)
+
+
+@behave.when("the leader is frozen for {seconds:d} seconds")
+def freeze_leader(context: Any, seconds: int) -> None:
+    process = context.deployment.process_by_name[context.deployment.leader()]
+    process.freeze()
+    time.sleep(seconds)
+    process.thaw()
+
+
+@behave.when("the leader is killed twice with restarts")
+def kill_leaders(context: Any) -> None:
+    for _ in range(2):
+        kill_leader(context)
+        time.sleep(2.0)
+        start_again(context)
+        time.sleep(1.0)
+
+
+@behave.when("a worker falls silent")
+def silence_worker(context: Any) -> None:
+    context.workers[0].cut_off.set()
+
+
+@behave.when("an endpoint dies")
+def kill_endpoint(context: Any) -> None:
+    context.endpoints[0].stop()
+    context.fakes.remove(context.endpoints[0])
+
+
+@behave.when("the load goes on for {seconds:d} seconds")
+def load_on(context: Any, seconds: int) -> None:
+    time.sleep(seconds)
+    context.load.stop()
+
+
+@behave.then("no key has run twice and no job has run in two places")
+def ran_once(context: Any) -> None:
+    runs = [key for endpoint in context.endpoints for key in endpoint.runs]
+    assert len(set(runs)) == len(runs), [key for key in runs if runs.count(key) > 1]
+    assert context.load.done > 20, (context.load.done, context.load.failures[:5])
+    lied = context.load.said_not_run & set(runs)
+    assert not lied, lied
+    for worker in context.workers:
+        worker.cut_off.clear()
+        assert worker.most_committed <= worker.capacity["millicores"]
+
+    def all_ended() -> bool:
+        answer = _call(context, "GET", "/v1/jobs")
+        jobs = answer.json()["jobs"] if answer and answer.status == 200 else []
+        phases = {job["phase"] for job in jobs}
+        return len(jobs) == 12 and not phases & {"queued", "leased", "stopping"}
+
+    assert deployment_lib.wait_until(all_ended, 25.0), "jobs have not ended"
+    spans = [span for worker in context.workers for span in worker.spans]
+    for first, second in itertools.combinations(spans, 2):
+        if first.job == second.job:
+            apart = first.end <= second.start or second.end <= first.start
+            assert apart, (first, second)
+
+
+@behave.then("the deployment serves requests again")
+def serves_again(context: Any) -> None:
+    assert deployment_lib.wait_until(lambda: _serves(context)), "no answer"
+
+
+@behave.then("the record names {event}")
+def record_names(context: Any, event: str) -> None:
+    def is_named() -> bool:
+        answer = _call(context, "GET", "/v1/record")
+        if answer is None or answer.status != 200:
+            return False
+        kinds = {item[3] for item in answer.json()["account"]["events"]}
+        return event in kinds
+
+    assert deployment_lib.wait_until(is_named), event
+
+
+# Keepers.
+
+
+@behave.when('keeper "{name}" is killed and its data folder is lost')
+def lose_folder(context: Any, name: str) -> None:
+    _kill(context, name)
+    context.deployment.wipe(name)
+
+
+@behave.when("it is started again")
+def start_again(context: Any) -> None:
+    context.deployment.process_by_name[context.killed].start()
+
+
+@behave.then("it does not vote and the status shows its lost disk")
+def lost_disk_shown(context: Any) -> None:
+    def is_shown() -> bool:
+        status = context.deployment.status()
+        keepers = status["keepers"] if status else []
+        return any(item["lost_disk"] for item in keepers)
+
+    assert deployment_lib.wait_until(is_shown), context.deployment.status()
+
+
+@behave.when('a ticket replaces "{old}" by "{new}"')
+def replace_keeper(context: Any, old: str, new: str) -> None:
+    deployment = context.deployment
+    _kill(context, old)
+    deployment.keeper_addresses[new] = ("127.0.0.1", deployment_lib.free_port())
+    deployment.add_keeper(new)
+    deployment.process_by_name[new].start()
+    keepers = [
+        {"keeper": name, "host": host, "port": port}
+        for name, (host, port) in deployment.keeper_addresses.items()
+        if name != old
+    ]
+    item = {"type": "keeper_set", "name": "keepers", "keepers": keepers}
+    answer = _call(context, "POST", "/v1/tickets", {"number": 9, "items": [item]})
+    assert answer is not None and answer.code == 1001, answer
+
+
+@behave.then('"{new}" becomes a voter and "{old}" is gone')
+def replaced(context: Any, new: str, old: str) -> None:
+    def is_replaced() -> bool:
+        status = context.deployment.status()
+        voters = [item["keeper"] for item in status["keepers"] if item["voter"]]
+        return new in voters and old not in voters
+
+    assert deployment_lib.wait_until(is_replaced), context.deployment.status()
+
+
+@behave.then("an accepted ticket is still in force")
+def still_in_force(context: Any) -> None:
+    answer = _call(context, "GET", "/v1/tickets/9")
+    assert answer is not None and answer.json()["tickets"][0]["in_force"], answer
+
+
+# Tickets.
+
+
+def _ticket(number: int, value: int) -> dict[str, Any]:
+    item = {"type": "service_policy", "name": "booking", "deadline_ms": value}
+    return {"number": number, "items": [item]}
+
+
+@behave.when(
+    "{count:d} operators submit ticket {number:d} with different content at the same"
+    " time"
+)
+def race(context: Any, count: int, number: int) -> None:
+    answers: dict[int, deployment_lib.Answer] = {}
+
+    def submit(operator: int) -> None:
+        address = _entries(context)[operator % 2]
+        answers[operator] = deployment_lib.call(
+            address, "POST", "/v1/tickets", _ticket(number, 1000 + operator)
+        )
+
+    core_steps.in_threads([lambda operator=item: submit(operator) for item in range(count)])
+    context.answers = answers
+    context.number = number
+
+
+@behave.then("exactly one is accepted and the others learn the winner")
+def one_winner(context: Any) -> None:
+    by_code: dict[int, list[int]] = {}
+    for operator, answer in context.answers.items():
+        by_code.setdefault(answer.code, []).append(operator)
+    assert len(by_code[1001]) == 1, by_code
+    assert len(by_code[4001]) == len(context.answers) - 1, by_code
+    context.winner = by_code[1001][0]
+    digest = context.answers[context.winner].json()["reason"]
+    for operator in by_code[4001]:
+        assert digest in context.answers[operator].json()["reason"]
+
+
+@behave.then("the winner can send it again and gets the same answer")
+def winner_again(context: Any) -> None:
+    body = _ticket(context.number, 1000 + context.winner)
+    again = _call(context, "POST", "/v1/tickets", body)
+    first = context.answers[context.winner]
+    assert again is not None and again.body == first.body, again
+
+
+@behave.then("the ticket is in force on every entry within {seconds:g} seconds")
+def in_force(context: Any, seconds: float) -> None:
+    def is_confirmed() -> bool:
+        answer = _call(context, "GET", f"/v1/tickets/{context.number}")
+        if answer is None or answer.status != 200:
+            return False
+        ticket = answer.json()["tickets"][0]
+        return len(ticket["confirmed"]) == 2 and ticket["in_force"]
+
+    assert deployment_lib.wait_until(is_confirmed, seconds)
+
+
+@behave.when("{count:d} tickets are accepted")
+def many_tickets(context: Any, count: int) -> None:
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        address = _entries(context)[0]
+
+        def submit(number: int) -> int:
+            path = "/v1/tickets"
+            body = {
+                "number": number,
+                "items": [{"type": "drain_state", "name": f"w{number}", "draining": True}],
+            }
+            return deployment_lib.call(address, "POST", path, body).code
+
+        results = list(pool.map(submit, range(1, count + 1)))
+    assert results == [1001] * count, results
+
+
+@behave.then("it holds the newest ticket within {seconds:g} seconds")
+def caught_up(context: Any, seconds: float) -> None:
+    def is_level() -> bool:
+        status = context.deployment.status()
+        if not status:
+            return False
+        found = {item["keeper"]: item["match_index"] for item in status["keepers"]}
+        return found[context.killed] >= status["commit_index"] - 5
+
+    assert deployment_lib.wait_until(is_level, seconds), context.deployment.status()
+
+
+# Cut off.
+
+
+@behave.when("all keepers are frozen")
+def freeze_keepers(context: Any) -> None:
+    for name in context.deployment.keeper_addresses:
+        context.deployment.process_by_name[name].freeze()
+
+
+@behave.when("all keepers are thawed")
+def thaw_keepers(context: Any) -> None:
+    for name in context.deployment.keeper_addresses:
+        context.deployment.process_by_name[name].thaw()
+
+
+@behave.then("each entry refuses requests within {seconds:g} seconds")
+def entries_refuse(context: Any, seconds: float) -> None:
+    for address in _entries(context):
+
+        def is_refused(address: str = address) -> bool:
+            answer = deployment_lib.call(address, "GET", "/call/booking/x")
+            return answer.code == 2005
+
+        assert deployment_lib.wait_until(is_refused, seconds), address
+
+
+# Jobs.
+
+
+@behave.when("{count:d} jobs are submitted and cancelled at once")
+def cancel_wave(context: Any, count: int) -> None:
+    assert deployment_lib.wait_until(lambda: len(_workers_alive(context)) == 2)
+    address = _entries(context)[0]
+    names = [f"job-{number}" for number in range(count)]
+
+    def submit(name: str) -> int:
+        body = {"job": name, "team": "t", "needs": {"millicores": 500}, "payload": "9"}
+        return deployment_lib.call(address, "POST", "/v1/jobs", body).code
+
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        assert list(pool.map(submit, names)) == [1001] * count
+    answer = _call(context, "POST", "/v1/jobs/cancel", {"jobs": names})
+    assert answer is not None and answer.code == 1001, answer
+
+
+@behave.then("all {count:d} jobs are cancelled or done")
+def all_cancelled(context: Any, count: int) -> None:
+    def are_cancelled() -> bool:
+        answer = _call(context, "GET", "/v1/jobs?limit=1000")
+        jobs = answer.json()["jobs"] if answer else []
+        phases = [job["phase"] for job in jobs]
+        return len(phases) == count and set(phases) <= {"cancelled", "done"}
+
+    assert deployment_lib.wait_until(are_cancelled), "jobs are left"
+
+
+@behave.then("nothing is committed on any worker")
+def nothing_committed(context: Any) -> None:
+    answer = _call(context, "GET", "/v1/workers")
+    assert answer is not None
+    for worker in json.loads(answer.body)["workers"]:
+        assert worker["committed"]["millicores"] == 0, worker
+        assert re.match(r"w\d", worker["worker"])
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests: stand-ins for endpoints and workers, processes."""
--- /dev/null
+++ b/features/support/deployment.py
@@ -0,0 +1,281 @@
+"""Starts and ends the processes of a deployment for tests."""
+
+import dataclasses
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import yaml
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 25.0
+FAST_LEASES = {
+    "worker_lease_ms": 1500,
+    "worker_heartbeat_ms": 200,
+    "entry_lease_ms": 1000,
+    "entry_heartbeat_ms": 150,
+    "endpoint_lease_ms": 1500,
+    "endpoint_heartbeat_ms": 200,
+    "request_limit_ms": 3000,
+}
+FAST_ELECTION = {"heartbeat_ms": 50, "timeout_min_ms": 400, "timeout_max_ms": 800}
+
+
+def free_port() -> int:
+    """Returns a TCP port of the loopback address that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def wait_until(
+    condition: Callable[[], Any], timeout: float = START_TIMEOUT_S
+) -> Any:
+    """Waits for a condition; returns its last value, true or not."""
+    until = time.monotonic() + timeout
+    while True:
+        value = condition()
+        if value or time.monotonic() >= until:
+            return value
+        time.sleep(0.05)
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """An HTTP answer."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    @property
+    def code(self) -> int:
+        return int(self.headers.get("Fulmar-Code", 0))
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 15.0,
+) -> Answer:
+    """Makes one HTTP request on a connection of its own."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+    try:
+        connection.request(method, path, data, headers or {})
+        response = connection.getresponse()
+        return Answer(response.status, response.read(), dict(response.getheaders()))
+    finally:
+        connection.close()
+
+
+class Process:
+    """One process of the program."""
+
+    def __init__(self, arguments: list[str], log: pathlib.Path) -> None:
+        self.arguments = arguments
+        self.log = log
+        self.popen: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", *self.arguments], stdout=log, stderr=log
+            )
+
+    @property
+    def pid(self) -> int:
+        assert self.popen is not None
+        return self.popen.pid
+
+    @property
+    def alive(self) -> bool:
+        return self.popen is not None and self.popen.poll() is None
+
+    def kill(self) -> None:
+        """Ends the process as a crash would."""
+        if self.alive and self.popen:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+            self.popen.wait()
+
+    def freeze(self) -> None:
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        os.kill(self.pid, signal.SIGCONT)
+
+    def terminate(self) -> int:
+        """Ends the process in an orderly way; returns its exit code."""
+        assert self.popen is not None
+        self.popen.terminate()
+        return self.popen.wait(timeout=STOP_TIMEOUT_S)
+
+
+class Deployment:
+    """Keepers and entries as processes on the loopback address."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        keepers: int = 3,
+        entries: int = 2,
+        fast: bool = True,
+        route: Callable[[str, str, int], int] | None = None,
+    ) -> None:
+        self.folder = folder
+        self.fast = fast
+        self.keeper_addresses: dict[str, tuple[str, int]] = {}
+        self.entry_addresses: dict[str, str] = {}
+        self.process_by_name: dict[str, Process] = {}
+        self._route = route
+        folder.mkdir(parents=True, exist_ok=True)
+        for number in range(1, keepers + 1):
+            self.keeper_addresses[f"k{number}"] = ("127.0.0.1", free_port())
+        for name in list(self.keeper_addresses):
+            self.add_keeper(name)
+        for number in range(1, entries + 1):
+            self.add_entry(f"e{number}")
+
+    @property
+    def entries(self) -> list[str]:
+        """Addresses of all entries."""
+        return list(self.entry_addresses.values())
+
+    def add_keeper(self, name: str) -> None:
+        """Writes a keeper's settings; its address must be known."""
+        host, port = self.keeper_addresses[name]
+        given = {
+            "role": "keeper",
+            "name": name,
+            "domain": f"domain-{name}",
+            "listen": {"host": host, "port": port},
+            "listen_http": {"host": "127.0.0.1", "port": free_port()},
+            "data_folder": str(self.folder / name),
+            "keepers": self._keepers_as_seen_by(name),
+        }
+        if self.fast:
+            given["election"] = FAST_ELECTION
+        self._add(name, "keeper", given)
+
+    def add_entry(self, name: str) -> None:
+        """Writes an entry's settings."""
+        port = free_port()
+        self.entry_addresses[name] = f"127.0.0.1:{port}"
+        given = {
+            "role": "entry",
+            "name": name,
+            "domain": f"domain-{name}",
+            "listen_http": {"host": "127.0.0.1", "port": port},
+            "keepers": self._keepers_as_seen_by(name),
+            "limits": {"drain_notice_ms": 300},
+        }
+        self._add(name, "entry", given)
+
+    def _keepers_as_seen_by(self, name: str) -> list[dict[str, Any]]:
+        route = self._route or (lambda source, target, port: port)
+        return [
+            {"keeper": keeper, "host": host, "port": route(name, keeper, port)}
+            for keeper, (host, port) in self.keeper_addresses.items()
+        ]
+
+    def _add(self, name: str, role: str, given: dict[str, Any]) -> None:
+        if self.fast:
+            given["leases"] = FAST_LEASES
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(given))
+        arguments = ["fulmarrouter", role, str(path)]
+        self.process_by_name[name] = Process(arguments, self.folder / f"{name}.log")
+
+    def found(self) -> None:
+        """Initializes the data folders of the first keepers."""
+        for name in self.keeper_addresses:
+            path = self.folder / f"{name}.yaml"
+            subprocess.run(
+                [sys.executable, "-m", "fulmarrouter", "keeper-init", str(path)],
+                check=True,
+                capture_output=True,
+            )
+
+    def start(self) -> None:
+        """Founds the quorum, starts everything and waits until it is ready."""
+        self.found()
+        for process in self.process_by_name.values():
+            process.start()
+        assert self.wait_ready(), self.logs()
+
+    def wait_ready(self, timeout: float = START_TIMEOUT_S) -> bool:
+        """Waits until every entry that runs takes requests."""
+        return all(
+            wait_until(lambda name=name: self.is_ready(name), timeout)
+            for name in self.entry_addresses
+            if self.process_by_name[name].alive
+        )
+
+    def is_ready(self, name: str) -> bool:
+        try:
+            answer = call(self.entry_addresses[name], "GET", "/healthz", timeout=2)
+        except OSError:
+            return False
+        return answer.status == 200
+
+    def status(self) -> Any:
+        """Returns the leader's status, asked through any entry."""
+        for address in self.entries:
+            try:
+                answer = call(address, "GET", "/v1/status", timeout=6)
+            except OSError:
+                continue
+            if answer.status == 200:
+                return answer.json()
+        return None
+
+    def leader(self) -> str:
+        """Returns the leader's name."""
+        status = wait_until(self.status)
+        assert status, self.logs()
+        return str(status["leader"])
+
+    def wipe(self, name: str) -> None:
+        """Loses a keeper's data folder."""
+        shutil.rmtree(self.folder / name)
+
+    def logs(self) -> str:
+        """Returns the last lines of all logs."""
+        return "\n".join(
+            f"{name}: {line}"
+            for name, process in self.process_by_name.items()
+            if process.log.exists()
+            for line in process.log.read_text().splitlines()[-8:]
+        )
+
+    def stop(self) -> dict[str, int]:
+        """Ends everything in an orderly way; returns the exit codes."""
+        exit_codes = {}
+        order = [*self.entry_addresses, *self.keeper_addresses]
+        for name in order:
+            process = self.process_by_name.get(name)
+            if process is not None and process.alive:
+                exit_codes[name] = process.terminate()
+        return exit_codes
+
+    def kill_all(self) -> None:
+        """Ends everything at once."""
+        for process in self.process_by_name.values():
+            process.kill()
--- /dev/null
+++ b/features/support/histories.py
@@ -0,0 +1,299 @@
+"""Random histories of faults over a simulated deployment."""
+
+import random
+from collections.abc import Callable
+
+from hypothesis import settings as hypothesis_settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from features.support import cluster as cluster_lib
+from fulmarrouter import commands
+from fulmarrouter import requests
+
+JOBS = 8
+WORKERS = 3
+ENTRIES = 2
+
+
+class History:
+    """A deployment with work on it, and the faults that befall it."""
+
+    def __init__(self, seed: int, keepers: int = 3, millicores: int = 2000) -> None:
+        self.cluster = cluster_lib.Cluster(seed, keepers)
+        self.rng = random.Random(seed)
+        self.workers = [
+            cluster_lib.SimWorker(self.cluster, f"w{number}", millicores)
+            for number in range(WORKERS)
+        ]
+        self.entries = [
+            cluster_lib.SimEntry(self.cluster, f"e{number}")
+            for number in range(ENTRIES)
+        ]
+        self.cluster.run(1.0)
+        self.submit_jobs()
+
+    def submit_jobs(self) -> None:
+        for number in range(JOBS):
+            spec = commands.JobSpec(
+                f"j{number}",
+                "team",
+                idempotent=number % 2 == 0,
+                checkpoints=number % 3 == 0,
+                needs=commands.Resources(900, 100, 0),
+            )
+            self._call(requests.Propose(commands.SubmitJob(spec, 0)))
+
+    def _call(self, request: requests.AnyRequest) -> None:
+        self.cluster.call("operator", request, lambda reply: None)
+
+    def _keeper(self) -> str:
+        return self.rng.choice(list(self.cluster.nodes))
+
+    # Faults; each takes what it needs from the history's random source.
+
+    def crash_keeper(self) -> None:
+        self.cluster.crash(self._keeper(), self.rng.random() < 0.5)
+
+    def restart_keeper(self) -> None:
+        self.cluster.restart(self._keeper())
+
+    def freeze_keeper(self) -> None:
+        self.cluster.nodes[self._keeper()].frozen = True
+
+    def thaw_keepers(self) -> None:
+        for node in self.cluster.nodes.values():
+            node.frozen = False
+
+    def disturb_network(self) -> None:
+        self.cluster.loss = self.rng.choice([0, 0.05, 0.3])
+        self.cluster.duplication = self.rng.choice([0, 0.2])
+        self.cluster.delay_s = self.rng.choice([0.005, 0.02, 0.1, 0.4])
+
+    def slow_workers(self) -> None:
+        self.cluster.delay_by_name = {
+            worker.name: self.rng.choice([0.01, 0.3, 0.6]) for worker in self.workers
+        }
+
+    def cut(self) -> None:
+        names = [*self.cluster.nodes, "w0", "w1", "w2", "e0", "e1"]
+        self.cluster.cuts = {
+            frozenset(self.rng.sample(names, 2)) for _ in range(4)
+        }
+
+    def isolate_keeper(self) -> None:
+        lonely = self._keeper()
+        self.cluster.cuts = {
+            frozenset((lonely, name)) for name in self.cluster.nodes if name != lonely
+        }
+
+    def mend_cuts(self) -> None:
+        self.cluster.cuts = set()
+
+    def restart_worker(self) -> None:
+        self.rng.choice(self.workers).restart()
+
+    def cut_off_worker(self) -> None:
+        worker = self.rng.choice(self.workers)
+        worker.cut_off = not worker.cut_off
+
+    def crash_entry(self) -> None:
+        self.rng.choice(self.entries).crash()
+
+    def cut_off_entry(self) -> None:
+        entry = self.rng.choice(self.entries)
+        entry.cut_off = not entry.cut_off
+
+    def submit_ticket(self) -> None:
+        number = self.rng.randrange(1, 8)
+        for entry in self.entries:
+            entry.submit_ticket(number, self.rng.randrange(1, 1000))
+
+    def evict(self) -> None:
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        for job_id, job in list(leader.core.state.job_by_id.items()):
+            if job.phase.holds_lease and self.rng.random() < 0.4:
+                reason = commands.StopReason.EVICT
+                self._call(
+                    requests.Propose(
+                        commands.RequestStop(job_id, job.epoch, reason, 0)
+                    )
+                )
+
+    def cancel_wave(self) -> None:
+        jobs = tuple(f"j{number}" for number in range(0, JOBS, 3))
+        self._call(requests.Propose(commands.CancelJobs(jobs, 0)))
+
+    FAULTS: tuple[Callable[["History"], None], ...] = (
+        crash_keeper,
+        restart_keeper,
+        freeze_keeper,
+        thaw_keepers,
+        disturb_network,
+        slow_workers,
+        cut,
+        isolate_keeper,
+        mend_cuts,
+        restart_worker,
+        cut_off_worker,
+        crash_entry,
+        cut_off_entry,
+        submit_ticket,
+        evict,
+        evict,
+        submit_jobs,
+    )
+
+    def finish(self) -> None:
+        """Ends all faults; work must go on and nothing may have been broken."""
+        self.cluster.heal()
+        self.cluster.check_history()
+        leader = self.cluster.leader()
+        assert leader is not None, "no leader after all faults have ended"
+        replica = leader.core.replica
+        for node in self.cluster.nodes.values():
+            behind = replica.commit_index - node.core.replica.commit_index
+            assert behind < 50, f"{node.name} is {behind} entries behind"
+
+
+def run_seeded(seed: int, faults: int = 30, keepers: int = 3) -> None:
+    """Runs one history drawn from a seed."""
+    history = History(seed, keepers)
+    for _ in range(faults):
+        history.rng.choice(History.FAULTS)(history)
+        history.cluster.run(history.rng.uniform(0.1, 1.0))
+    history.finish()
+
+
+def run_stale_read(seed: int) -> None:
+    """Reads from an isolated leader after another one has accepted a ticket."""
+    cluster = cluster_lib.Cluster(seed)
+    cluster.run(1.0)
+    old = cluster.leader()
+    assert old is not None
+    cluster.cuts = {
+        frozenset((old.name, name)) for name in cluster.nodes if name != old.name
+    }
+    # Reads must not depend on clocks, so the old leader's may nearly stand.
+    old.offset = old.clock(cluster.time) - 0.1 * cluster.time
+    old.rate = 0.1
+    others = [node for node in cluster.nodes.values() if node is not old]
+    for _ in range(100):
+        cluster.run(cluster_lib.STEP_S)
+        new = [node for node in others if node.core.replica.leads_with_committed_entry]
+        if new:
+            _ticket_then_read(cluster, new[0].name, old.name)
+            return
+
+
+def _ticket_then_read(
+    cluster: cluster_lib.Cluster, new_leader: str, old_leader: str
+) -> None:
+    def read(reply: requests.AnyReply) -> None:
+        is_stale = isinstance(reply, requests.TicketList) and not reply.tickets
+        assert not is_stale, "a read missed an accepted ticket"
+
+    def on_accepted(reply: requests.AnyReply) -> None:
+        if isinstance(reply, requests.Proposed):
+            cluster.call("op", requests.ListTickets(1), read, old_leader)
+
+    ticket = commands.SubmitTicket(1, (commands.DrainState("w0", True),))
+    cluster.delay_s = 0.001
+    cluster.call("op", requests.Propose(ticket), on_accepted, new_leader)
+    cluster.run(0.5)
+
+
+def run_slow_worker(seed: int) -> None:
+    """Replies to workers come late, so each lease has run for a while."""
+    history = History(seed, millicores=8000)
+    cluster = history.cluster
+    for worker in history.workers:
+        cluster.delay_by_name = {worker.name: 0.3}
+        history.submit_jobs()
+        cluster.run(0.9)
+        cluster.cuts = {frozenset((worker.name, name)) for name in cluster.nodes}
+        cluster.run(2.5)
+        cluster.cuts = set()
+    history.finish()
+
+
+def run_replacement(seed: int) -> None:
+    """A disk is lost while the log is held by few; then its keeper is replaced."""
+    cluster = cluster_lib.Cluster(seed)
+    entry = cluster_lib.SimEntry(cluster, "e0")
+    cluster.run(1.0)
+    leader = cluster.leader()
+    assert leader is not None
+    behind, lost = [node for node in cluster.nodes.values() if node is not leader]
+    cluster.cuts = {frozenset((behind.name, name)) for name in cluster.nodes}
+    cluster.run(1.0)
+    for node in (leader, lost):
+        cluster.crash(node.name, before_sync=False)
+    lost.disk = cluster_lib.Disk()
+    lost.start(cluster.time)
+    cluster.cuts = set()
+    cluster.run(2.0)
+    leader.start(cluster.time)
+    cluster.run(2.0)
+    cluster.add_node("k4")
+    wanted = tuple(
+        cluster_lib.address(name) for name in (leader.name, behind.name, "k4")
+    )
+    ticket = commands.SubmitTicket(9, (commands.KeeperSet(keepers=wanted),))
+    for _ in range(3):
+        cluster.call("op", requests.Propose(ticket), lambda reply: None)
+        cluster.run(1.0)
+    cluster.crash(cluster.rng.choice((leader.name, behind.name)), before_sync=True)
+    before = len(entry.run_count_by_key)
+    cluster.run(2.0)
+    new_leader = cluster.leader()
+    assert new_leader is not None, "no leader after the replacement"
+    voters = {item.keeper for item in new_leader.core.replica.membership.voters}
+    assert voters == {leader.name, behind.name, "k4"}, voters
+    assert len(entry.run_count_by_key) >= before
+
+
+KIND_BY_NAME: dict[str, Callable[[int], None]] = {
+    "fault": run_seeded,
+    "stale read": run_stale_read,
+    "slow worker": run_slow_worker,
+    "replacement": run_replacement,
+}
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Histories chosen by Hypothesis, which also shrinks what it finds."""
+
+    @stateful.initialize(
+        seed=strategies.integers(0, 2**32), keepers=strategies.sampled_from([3, 5])
+    )
+    def begin(self, seed: int, keepers: int) -> None:
+        self.history = History(seed, keepers)
+
+    @stateful.rule(
+        fault=strategies.sampled_from(History.FAULTS),
+        seconds=strategies.floats(0.05, 1.2),
+    )
+    def befall(self, fault: Callable[[History], None], seconds: float) -> None:
+        fault(self.history)
+        self.history.cluster.run(seconds)
+
+    def teardown(self) -> None:
+        if hasattr(self, "history"):
+            self.history.finish()
+
+
+def run_machine(examples: int, steps: int) -> None:
+    """Runs histories that are the same in every run."""
+    stateful.run_state_machine_as_test(  # type: ignore[no-untyped-call]
+        Machine,
+        settings=hypothesis_settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            deadline=None,
+            database=None,
+        ),
+    )
--- /dev/null
+++ b/features/support/smoke.py
@@ -0,0 +1,100 @@
+"""Runs the whole path once through separate processes and prints each result."""
+
+import pathlib
+import sys
+import tempfile
+
+from features.support import deployment as deployment_lib
+
+KEY = {"Fulmar-Key": "invoice-2026-11"}
+
+
+class Smoke:
+    """Checks, each printed with what was seen."""
+
+    def __init__(self) -> None:
+        self.failures = 0
+
+    def check(self, name: str, held: bool, seen: object) -> None:
+        """Prints one result."""
+        self.failures += not held
+        print(f"{'ok    ' if held else 'FAILED'} {name}: {seen}", flush=True)
+
+
+def _checks(smoke: Smoke, deployment: deployment_lib.Deployment) -> None:
+    first, second = deployment.entries
+
+    def ready_call() -> deployment_lib.Answer | None:
+        answer = deployment_lib.call(first, "GET", "/call/booking/yards?day=3")
+        return answer if answer.status == 200 else None
+
+    answer = deployment_lib.wait_until(ready_call)
+    seen = answer.body if answer else "no answer"
+    smoke.check("latency-critical request", seen == b"GET /yards?day=3 ", seen)
+
+    run = deployment_lib.call(first, "POST", "/call/booking/invoice", b"run", KEY)
+    smoke.check("non-idempotent request", run.code == 1000, run.code)
+    again = deployment_lib.call(second, "POST", "/call/booking/invoice", b"run", KEY)
+    same = again.code == 1002 and again.body == run.body
+    smoke.check("the same request sent again", same, again.code)
+
+    job = {"job": "settlement-1", "team": "settlements", "payload": "0.3"}
+    job["needs"] = {"millicores": 500, "memory_mb": 100}  # type: ignore[assignment]
+    submitted = deployment_lib.call(first, "POST", "/v1/jobs", job)
+    smoke.check("batch job submitted", submitted.code == 1001, submitted.code)
+
+    def job_phase() -> str:
+        shown = deployment_lib.call(second, "GET", "/v1/jobs/settlement-1").json()
+        return str(shown["jobs"][0]["phase"])
+
+    deployment_lib.wait_until(lambda: job_phase() == "done")
+    smoke.check("batch job at its end", job_phase() == "done", job_phase())
+
+    item = {"type": "service_policy", "name": "booking", "deadline_ms": 1500}
+    ticket = {"number": 1, "operator": "smoke", "items": [item]}
+    accepted = deployment_lib.call(second, "POST", "/v1/tickets", ticket)
+    smoke.check("ticket accepted", accepted.code == 1001, accepted.code)
+
+    def shown_ticket() -> dict[str, object]:
+        shown = deployment_lib.call(first, "GET", "/v1/tickets/1").json()
+        found: dict[str, object] = shown["tickets"][0]
+        return found
+
+    deployment_lib.wait_until(lambda: len(shown_ticket()["confirmed"]) == 2)  # type: ignore[arg-type]
+    shown = shown_ticket()
+    smoke.check("ticket in force", bool(shown["in_force"]), shown["confirmed"])
+
+
+def main() -> int:
+    """Returns 0 only if every check held."""
+    smoke = Smoke()
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        deployment = deployment_lib.Deployment(folder, fast=False)
+        fakes = [
+            deployment_lib.Process(
+                ["features.support.fakes", kind, fake, *deployment.entries],
+                folder / f"{fake}.log",
+            )
+            for kind, fake in (("endpoint", "p1"), ("worker", "w1"))
+        ]
+        try:
+            deployment.start()
+            print(f"ok     started: {', '.join(deployment.process_by_name)}")
+            for fake in fakes:
+                fake.start()
+            _checks(smoke, deployment)
+            exit_codes = deployment.stop()
+            stopped = len(exit_codes) == 5 and not any(exit_codes.values())
+            smoke.check("graceful stop", stopped, exit_codes)
+            if smoke.failures:
+                print(deployment.logs())
+        finally:
+            deployment.kill_all()
+            for fake in fakes:
+                fake.kill()
+    return 1 if smoke.failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fulmarrouter/consensus.py
+++ b/fulmarrouter/consensus.py
@@ -99,9 +99,15 @@
 
 @dataclasses.dataclass
 class _Progress:
-    """What a leader knows of one peer."""
+    """What a leader knows of one peer.
+
+    Attributes:
+        probing: Where the logs agree is not known yet, so one message is
+            sent at a time and `next_index` isn't moved ahead of replies.
+    """
 
     next_index: int
+    probing: bool = True
     match_index: int = 0
     acked_at: float = 0.0
     acked_round: int = 0
@@ -463,11 +469,13 @@
             self._send_snapshot_chunk(peer, progress)
             return
         entries: tuple[messages.Entry, ...] = ()
-        if progress.next_index - progress.match_index <= MAX_IN_FLIGHT_ENTRIES:
+        in_flight = progress.next_index - progress.match_index
+        if progress.probing or in_flight <= MAX_IN_FLIGHT_ENTRIES:
             entries = self.log.slice(
                 progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES
             )
-        if not entries and not even_if_empty:
+        may_send = even_if_empty or (entries and not progress.probing)
+        if not may_send:
             return
         self._send(
             peer,
@@ -480,7 +488,8 @@
                 entries=entries,
             ),
         )
-        progress.next_index += len(entries)
+        if not progress.probing:
+            progress.next_index += len(entries)
 
     def _send_snapshot_chunk(self, peer: str, progress: _Progress) -> None:
         snapshot = self.log.snapshot
@@ -514,20 +523,37 @@
         if progress is None:
             return
         if message.success:
-            progress.match_index = max(
-                progress.match_index, message.match_index
-            )
-            progress.next_index = max(
-                progress.next_index, progress.match_index + 1
-            )
+            progress.match_index = max(progress.match_index, message.match_index)
+            if progress.probing:
+                progress.probing = False
+                progress.next_index = progress.match_index + 1
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
             self._advance_commit()
             self._send_append(sender, even_if_empty=False)
             return
-        progress.next_index = max(
-            progress.match_index + 1,
-            min(progress.next_index - 1, message.match_index + 1),
-        )
-        self._send_append(sender, even_if_empty=True)
+        self._on_rejected(sender, progress, message)
+
+    def _on_rejected(
+        self, peer: str, progress: _Progress, message: messages.AppendReply
+    ) -> None:
+        """Steps back; a rejection that has been acted on already is ignored.
+
+        Otherwise each copy of a rejection would cause a message, and copies
+        of its rejection would cause more.
+        """
+        if message.prev_index <= progress.match_index:
+            return
+        if not progress.probing:
+            progress.probing = True
+            progress.next_index = progress.match_index + 1
+        elif message.prev_index == progress.next_index - 1:
+            progress.next_index = max(
+                progress.match_index + 1,
+                min(message.prev_index, message.match_index + 1),
+            )
+        else:
+            return
+        self._send_append(peer, even_if_empty=True)
 
     def _on_snapshot_reply(
         self, now: float, sender: str, message: messages.SnapshotReply
@@ -536,13 +562,16 @@
         if progress is None or message.last_index != progress.snapshot_index:
             return
         if not message.done:
+            is_ahead = message.offset > progress.snapshot_offset
             progress.snapshot_offset = message.offset
-            self._send_snapshot_chunk(sender, progress)
+            if is_ahead:
+                self._send_snapshot_chunk(sender, progress)
             return
         progress.snapshot_index = 0
         progress.match_index = max(progress.match_index, message.last_index)
         progress.next_index = progress.match_index + 1
-        self._send_append(sender, even_if_empty=True)
+        progress.probing = False
+        self._send_append(sender, even_if_empty=False)
 
     def _acknowledged(
         self, now: float, sender: str, term: int, answered_round: int
@@ -630,6 +659,7 @@
             term=self.term,
             success=success,
             match_index=match_index,
+            prev_index=message.prev_index,
             round=message.round,
             blank=self.is_blank,
         )
@@ -697,6 +727,7 @@
                     term=self.term,
                     success=False,
                     match_index=0,
+                    prev_index=0,
                     round=message.round,
                     blank=True,
                 ),
--- a/fulmarrouter/jobs.py
+++ b/fulmarrouter/jobs.py
@@ -254,6 +254,8 @@
             )
         case commands.TaskEvent.STOPPED:
             _on_stopped(state, index, command, job)
+        case commands.TaskEvent.NOT_STARTED if job.stop_reason is not None:
+            _on_stopped(state, index, command, job)
         case commands.TaskEvent.FAILED | commands.TaskEvent.NOT_STARTED:
             _on_failed(state, index, command, job)
     return commands.Result(codes.Code.ACCEPTED, index=index)
--- a/fulmarrouter/leader.py
+++ b/fulmarrouter/leader.py
@@ -164,7 +164,8 @@
             job = state.job_by_id.get(report.job)
             if job is None or not _is_news(job, request.worker, report):
                 continue
-            self._count_result(info, report)
+            if job.phase is state_lib.JobPhase.LEASED:
+                self._count_result(info, report)
             proposals.append(
                 commands.ReportTask(
                     job=report.job,
--- a/fulmarrouter/messages.py
+++ b/fulmarrouter/messages.py
@@ -84,11 +84,13 @@
     Attributes:
         match_index: On success the last entry known to agree, otherwise the
             last index at which the follower could agree.
+        prev_index: Index that the Append built on.
         blank: The follower has no log and no membership.
     """
 
     success: bool
     match_index: int
+    prev_index: int
     round: int
     blank: bool
 
--- a/fulmarrouter/router_task.py
+++ b/fulmarrouter/router_task.py
@@ -154,7 +154,8 @@
         now = time.monotonic()
         self._deliver_all(now, self._router.tick(now))
         self._close_idle(now)
-        if now >= self._heartbeat_due and not self._asking:
+        is_drained = self._drained is not None and self._drained.done()
+        if now >= self._heartbeat_due and not self._asking and not is_drained:
             self._heartbeat(now)
         if now >= self._counts_due:
             self._report_counts(now)
--- a/fulmarrouter/wire.capnp
+++ b/fulmarrouter/wire.capnp
@@ -53,6 +53,7 @@
   matchIndex @2 :UInt64;
   round @3 :UInt64;
   blank @4 :Bool;
+  prevIndex @5 :UInt64;
 }
 
 struct KeeperAddress {
--- a/fulmarrouter/wire.py
+++ b/fulmarrouter/wire.py
@@ -116,6 +116,7 @@
             item.matchIndex = body.match_index
             item.round = body.round
             item.blank = body.blank
+            item.prevIndex = body.prev_index
         case messages.VoteRequest():
             item = target.init("voteRequest")
             item.term = body.term
@@ -228,6 +229,7 @@
         term=item.term,
         success=item.success,
         match_index=item.matchIndex,
+        prev_index=item.prevIndex,
         round=item.round,
         blank=item.blank,
     )
