Number every answer to bad input; keep connections usable after an answer

A response read to its last byte was not ended, so its pooled connection could not be used again: each second idempotent request cost a retry (code 3002) until the budget was spent. Responses are now ended; 50 requests in a row cause no retry. Bodies over the bound get code 2011.

--- a/features/path.feature
+++ b/features/path.feature
@@ -35,7 +35,8 @@
       | GET    | /v1/tickets/x              |                         |                 | 400    | 2012 |
       | GET    | /v1/record?from_ms=x       |                         |                 | 400    | 2012 |
       | POST   | /v1/workers/heartbeat      |                         | {}              | 400    | 2012 |
-    And a body over the bound is refused with status 413
+    And a body over the bound is refused with code 2011
+    And 50 requests one after the other cause no retry
     And a client that stays silent after half a header harms nothing
 
   Scenario: A graceful stop cuts off no request in progress
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -54,7 +54,9 @@
     assert context.result.code is codes.Code[name], context.result
 
 
-def _intent(session: int, nonce: str, digest: str = "same") -> commands.RecordIntent:
+def _intent(
+    session: int, nonce: str, digest: str = "same"
+) -> commands.RecordIntent:
     return commands.RecordIntent("key", digest, session, nonce, "p1", 0)
 
 
@@ -73,17 +75,25 @@
         "of unknown outcome": commands.RunState.UNKNOWN,
     }
     if before in states:
-        answer = commands.Answer(200, (), b"x") if before == "answered" else None
-        log.apply(commands.RecordOutcome("key", "first", states[before], answer, 0))
+        answer = (
+            commands.Answer(200, (), b"x") if before == "answered" else None
+        )
+        log.apply(
+            commands.RecordOutcome("key", "first", states[before], answer, 0)
+        )
     elif before == "begun by a session that ended":
         log.apply(commands.EndSession(context.session, True, 0))
-        context.session = log.apply(commands.OpenSession("e2", "n", "d", 0)).index
+        context.session = log.apply(
+            commands.OpenSession("e2", "n", "d", 0)
+        ).index
 
 
 @behave.when("the key is sent again with {body}")
 def key_again(context: Any, body: str) -> None:
     digest = "same" if body == "the same body" else "other"
-    context.result = context.machine.apply(_intent(context.session, "second", digest))
+    context.result = context.machine.apply(
+        _intent(context.session, "second", digest)
+    )
 
 
 def _worker(name: str, millicores: int = 4000, incarnation: int = 1) -> Any:
@@ -91,7 +101,9 @@
     return commands.AnnounceWorker(name, incarnation, capacity)
 
 
-def _spec(name: str, millicores: int = 1000, **options: Any) -> commands.JobSpec:
+def _spec(
+    name: str, millicores: int = 1000, **options: Any
+) -> commands.JobSpec:
     needs = commands.Resources(millicores, 100, 0)
     return commands.JobSpec(name, "team", needs=needs, **options)
 
@@ -102,7 +114,9 @@
     context.machine = log
     log.apply(_worker("w1"))
     spec = _spec(
-        "j", idempotent=kind == "idempotent", checkpoints=kind == "checkpointing"
+        "j",
+        idempotent=kind == "idempotent",
+        checkpoints=kind == "checkpointing",
     )
     log.apply(commands.SubmitJob(spec, 0))
     log.apply(commands.GrantLease("j", "w1", 1, 1, 0))
@@ -217,7 +231,9 @@
     context.fleet = Fleet(workers, bad)
 
 
-@behave.when("{jobs:d} idempotent jobs of which {hopeless:d} always fail are run")
+@behave.when(
+    "{jobs:d} idempotent jobs of which {hopeless:d} always fail are run"
+)
 def run_jobs(context: Any, jobs: int, hopeless: int) -> None:
     names = [f"j{number}" for number in range(jobs)]
     context.fleet.hopeless = set(names[:hopeless])
@@ -277,7 +293,9 @@
     context.fleet.run(1.0)
 
 
-@behave.then("{count:d} jobs are asked to stop and the urgent job is granted next")
+@behave.then(
+    "{count:d} jobs are asked to stop and the urgent job is granted next"
+)
 def urgent_granted(context: Any, count: int) -> None:
     log = context.fleet.log
     stopping = [
@@ -307,7 +325,9 @@
     @core_steps.derandomized(context.examples)
     @hypothesis.given(
         total=strategies.integers(0, 500),
-        demands=strategies.lists(strategies.floats(0, 1e4), min_size=1, max_size=12),
+        demands=strategies.lists(
+            strategies.floats(0, 1e4), min_size=1, max_size=12
+        ),
     )
     def check(total: int, demands: list[float]) -> None:
         wanted = sharing.wanted_slots(total, dict(enumerate(demands)))
@@ -337,7 +357,17 @@
     router = routing.Router(3.0, random.Random(3))
     views = tuple(
         requests.EndpointView(
-            f"p{number}", 1, "booking", "127.0.0.1", 1, "", True, slots, 64, 1, slots
+            f"p{number}",
+            1,
+            "booking",
+            "127.0.0.1",
+            1,
+            "",
+            True,
+            slots,
+            64,
+            1,
+            slots,
         )
         for number in range(endpoints)
     )
@@ -361,7 +391,8 @@
     router.admit(0.0, _wanted(0, "first"))
     context.router = router
     context.results = [
-        router.admit(0.0, _wanted(number, "greedy")) for number in range(1, count + 1)
+        router.admit(0.0, _wanted(number, "greedy"))
+        for number in range(1, count + 1)
     ]
 
 
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -1,5 +1,6 @@
 """Starts and ends the processes of a deployment for tests."""
 
+from collections.abc import Callable
 import dataclasses
 import http.client
 import json
@@ -11,7 +12,6 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
 from typing import Any
 
 import yaml
@@ -27,7 +27,11 @@
     "endpoint_heartbeat_ms": 200,
     "request_limit_ms": 3000,
 }
-FAST_ELECTION = {"heartbeat_ms": 50, "timeout_min_ms": 400, "timeout_max_ms": 800}
+FAST_ELECTION = {
+    "heartbeat_ms": 50,
+    "timeout_min_ms": 400,
+    "timeout_max_ms": 800,
+}
 
 
 def free_port() -> int:
@@ -80,7 +84,9 @@
     try:
         connection.request(method, path, data, headers or {})
         response = connection.getresponse()
-        return Answer(response.status, response.read(), dict(response.getheaders()))
+        return Answer(
+            response.status, response.read(), dict(response.getheaders())
+        )
     finally:
         connection.close()
 
@@ -201,14 +207,22 @@
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(given))
         arguments = ["fulmarrouter", role, str(path)]
-        self.process_by_name[name] = Process(arguments, self.folder / f"{name}.log")
+        self.process_by_name[name] = Process(
+            arguments, self.folder / f"{name}.log"
+        )
 
     def found(self) -> None:
         """Initializes the data folders of the first keepers."""
         for name in self.keeper_addresses:
             path = self.folder / f"{name}.yaml"
             subprocess.run(
-                [sys.executable, "-m", "fulmarrouter", "keeper-init", str(path)],
+                [
+                    sys.executable,
+                    "-m",
+                    "fulmarrouter",
+                    "keeper-init",
+                    str(path),
+                ],
                 check=True,
                 capture_output=True,
             )
@@ -230,7 +244,9 @@
 
     def is_ready(self, name: str) -> bool:
         try:
-            answer = call(self.entry_addresses[name], "GET", "/healthz", timeout=2)
+            answer = call(
+                self.entry_addresses[name], "GET", "/healthz", timeout=2
+            )
         except OSError:
             return False
         return answer.status == 200
--- a/features/support/mutations.py
+++ b/features/support/mutations.py
@@ -1,8 +1,8 @@
 """Ways to switch one mechanism off, to see that its absence is noticed."""
 
-import contextlib
 from collections.abc import Callable
 from collections.abc import Iterator
+import contextlib
 from typing import Any
 from unittest import mock
 
@@ -44,7 +44,9 @@
 
 @mutation("commit on a minority")
 def minority() -> contextlib.AbstractContextManager[Any]:
-    return mock.patch.object(messages.Membership, "quorum", property(lambda self: 1))
+    return mock.patch.object(
+        messages.Membership, "quorum", property(lambda self: 1)
+    )
 
 
 @mutation("votes are forgotten")
@@ -96,7 +98,11 @@
 @mutation("a lost lease of a non-idempotent job is granted again")
 def rerun_lost() -> contextlib.AbstractContextManager[Any]:
     def careless(
-        state: state_lib.State, index: int, at_ms: int, job: state_lib.Job, reason: Any
+        state: state_lib.State,
+        index: int,
+        at_ms: int,
+        job: state_lib.Job,
+        reason: Any,
     ) -> None:
         del reason
         jobs._requeue(state, index, at_ms, job)
@@ -130,7 +136,9 @@
 @mutation("capacity is not checked")
 def no_capacity() -> contextlib.AbstractContextManager[Any]:
     return mock.patch.object(
-        jobs, "free_capacity", lambda worker: commands.Resources(10**6, 10**6, 0)
+        jobs,
+        "free_capacity",
+        lambda worker: commands.Resources(10**6, 10**6, 0),
     )
 
 
--- a/features/support/relay.py
+++ b/features/support/relay.py
@@ -30,7 +30,9 @@
         while not self._stopped:
             try:
                 inner, _ = self._listener.accept()
-                outer = socket.create_connection(("127.0.0.1", self.target_port))
+                outer = socket.create_connection(
+                    ("127.0.0.1", self.target_port)
+                )
             except OSError:
                 return
             self._number += 1
--- a/features/support/smoke.py
+++ b/features/support/smoke.py
@@ -32,9 +32,13 @@
     seen = answer.body if answer else "no answer"
     smoke.check("latency-critical request", seen == b"GET /yards?day=3 ", seen)
 
-    run = deployment_lib.call(first, "POST", "/call/booking/invoice", b"run", KEY)
+    run = deployment_lib.call(
+        first, "POST", "/call/booking/invoice", b"run", KEY
+    )
     smoke.check("non-idempotent request", run.code == 1000, run.code)
-    again = deployment_lib.call(second, "POST", "/call/booking/invoice", b"run", KEY)
+    again = deployment_lib.call(
+        second, "POST", "/call/booking/invoice", b"run", KEY
+    )
     same = again.code == 1002 and again.body == run.body
     smoke.check("the same request sent again", same, again.code)
 
@@ -44,7 +48,9 @@
     smoke.check("batch job submitted", submitted.code == 1001, submitted.code)
 
     def job_phase() -> str:
-        shown = deployment_lib.call(second, "GET", "/v1/jobs/settlement-1").json()
+        shown = deployment_lib.call(
+            second, "GET", "/v1/jobs/settlement-1"
+        ).json()
         return str(shown["jobs"][0]["phase"])
 
     deployment_lib.wait_until(lambda: job_phase() == "done")
--- a/fulmarrouter/consensus.py
+++ b/fulmarrouter/consensus.py
@@ -523,11 +523,15 @@
         if progress is None:
             return
         if message.success:
-            progress.match_index = max(progress.match_index, message.match_index)
+            progress.match_index = max(
+                progress.match_index, message.match_index
+            )
             if progress.probing:
                 progress.probing = False
                 progress.next_index = progress.match_index + 1
-            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            progress.next_index = max(
+                progress.next_index, progress.match_index + 1
+            )
             self._advance_commit()
             self._send_append(sender, even_if_empty=False)
             return
--- a/fulmarrouter/entry_web.py
+++ b/fulmarrouter/entry_web.py
@@ -62,7 +62,7 @@
 
     def build(self) -> web.App:
         """Returns the application."""
-        app = web.App()
+        app = web.App(self._settings.limits.max_body_bytes)
         app.route(("*",), CALL_PREFIX + "*")(self._call)
         app.route(("POST",), "/v1/workers/heartbeat")(self._worker_heartbeat)
         app.route(("POST",), "/v1/endpoints/heartbeat")(
--- a/fulmarrouter/main.py
+++ b/fulmarrouter/main.py
@@ -73,5 +73,10 @@
         return error.exit_code
 
 
-if __name__ == "__main__":
+def run_main() -> None:
+    """Runs the program and exits; the binary starts here."""
     sys.exit(main())
+
+
+if __name__ == "__main__":
+    run_main()
--- a/fulmarrouter/proxy.py
+++ b/fulmarrouter/proxy.py
@@ -458,4 +458,6 @@
         parts.append(part)
     if response.length:
         raise http.client.IncompleteRead(b"", response.length)
+    # Ends the response, without which its connection can't be used again.
+    response.read()
     return b"".join(parts)
--- a/fulmarrouter/web.py
+++ b/fulmarrouter/web.py
@@ -20,6 +20,10 @@
 from fulmarrouter import tasks
 
 FLUSH_TIMEOUT_S = 2.0
+MAX_BODY_BYTES = 1 << 20
+# A body a little over its bound is read, so that it can be answered with a
+# result code; waitress cuts off larger ones.
+BODY_READ_FACTOR = 4
 JSON_TYPE = "application/json"
 CODE_HEADER = "Fulmar-Code"
 
@@ -128,7 +132,8 @@
     A route's path may end in `/*`, which takes everything below it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        self._max_body_bytes = max_body_bytes
         self._log = logs.get(task="web")
         self._exact: dict[str, dict[str, Handler]] = {}
         self._below: dict[str, dict[str, Handler]] = {}
@@ -166,6 +171,10 @@
 
     def _respond(self, request: Request) -> Response:
         try:
+            if len(request.body) > self._max_body_bytes:
+                raise errors.RequestError(
+                    codes.Code.BODY_TOO_LARGE, f"at most {self._max_body_bytes}"
+                )
             return self._find(request)(request)
         except errors.RequestError as error:
             return code_response(error.code, error.reason)
@@ -242,7 +251,7 @@
                 connection_limit=limits.max_connections,
                 channel_timeout=limits.idle_timeout_ms // 1000 or 1,
                 cleanup_interval=5,
-                max_request_body_size=limits.max_body_bytes,
+                max_request_body_size=BODY_READ_FACTOR * limits.max_body_bytes,
                 max_request_header_size=limits.max_header_bytes,
                 asyncore_use_poll=True,
                 ident="fulmarrouter",
