--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints its figures, none gives a verdict."""
--- /dev/null
+++ b/bench/cost_bench.py
@@ -0,0 +1,250 @@
+"""Processor time and memory of single decisions, as the deployment grows."""
+
+import gc
+import pathlib
+import random
+import tempfile
+import time
+
+from bench import report
+from fulmarrouter import commands
+from fulmarrouter import consensus
+from fulmarrouter import leader
+from fulmarrouter import machine
+from fulmarrouter import messages
+from fulmarrouter import requests
+from fulmarrouter import routing
+from fulmarrouter import state as state_lib
+from fulmarrouter import storage
+
+WORKER_COUNTS = (100, 1000, 7400)
+TASKS_PER_WORKER = 19
+
+
+def _resident_mb() -> float:
+    return report.memory_mb(int(pathlib.Path("/proc/self").resolve().name))[0]
+
+
+def _fleet(workers: int, tasks: int, teams: int = 10) -> tuple[state_lib.State, int]:
+    """Builds a state with running tasks through the real apply step."""
+    state = state_lib.State()
+    index = 0
+    capacity = commands.Resources(64_000, 250_000, 0)
+    for number in range(workers):
+        index += 1
+        announcement = commands.AnnounceWorker(f"w{number}", 1, capacity)
+        machine.apply(state, index, announcement)
+    for number in range(tasks):
+        kind = commands.JobKind.SERVICE if number % 6 == 0 else commands.JobKind.BATCH
+        spec = commands.JobSpec(
+            f"job-{number}",
+            f"team-{number % teams}",
+            f"class-{number % 8}",
+            kind,
+            needs=commands.Resources(1000, 1000, 0),
+            idempotent=True,
+        )
+        index += 1
+        machine.apply(state, index, commands.SubmitJob(spec, 0))
+        worker = f"w{number % workers}"
+        grant = commands.GrantLease(spec.job, worker, 1, 1, 0)
+        machine.apply(state, index + 1, grant)
+        report_ = commands.ReportTask(
+            spec.job, 1, worker, commands.TaskEvent.STARTED, 0, 0, 0
+        )
+        index += 2
+        machine.apply(state, index, report_)
+    return state, index
+
+
+def _heartbeat(worker: str) -> requests.WorkerHeartbeat:
+    usage = tuple(
+        requests.UsageReport(f"job-{number}", 1, tail_ms=10.0 + number % 7)
+        for number in range(3)
+    )
+    capacity = commands.Resources(64_000, 250_000, 0)
+    return requests.WorkerHeartbeat(worker, 1, capacity, usage=usage)
+
+
+def _workers() -> None:
+    for workers in WORKER_COUNTS:
+        state, index = _fleet(workers, workers * TASKS_PER_WORKER)
+        chief = leader.Leader(leader.LeaseSettings(), random.Random(1))
+        chief.take_office(0.0, state)
+        rng = random.Random(2)
+
+        def beat(
+            chief: leader.Leader = chief,
+            state: state_lib.State = state,
+            rng: random.Random = rng,
+            workers: int = workers,
+        ) -> None:
+            request = _heartbeat(f"w{rng.randrange(workers)}")
+            chief.on_worker_heartbeat(1.0, 0, state, request)
+            chief.worker_orders(state, request)
+
+        beat_us = report.cpu_per_call(beat, 1000)
+        grants = 0
+        before = time.process_time()
+        now = 1.0
+        for wave in range(8):
+            for number in range(64):
+                spec = commands.JobSpec(
+                    f"new-{wave}-{number}",
+                    "team-1",
+                    "class-1",
+                    needs=commands.Resources(1000, 1000, 0),
+                )
+                index += 1
+                machine.apply(state, index, commands.SubmitJob(spec, 0))
+            now += 0.06
+            for command in chief.tick(now, 0, state):
+                index += 1
+                machine.apply(state, index, commands.decode(commands.encode(command)))
+                grants += isinstance(command, commands.GrantLease)
+        place_us = (time.process_time() - before) / max(grants, 1) * 1e6
+        chief.tick(now + 0.3, 0, state)
+        idle_us = report.cpu_per_call(lambda: chief.tick(now, 0, state), 200)
+        now += 1.0
+        start = time.process_time()
+        chief.tick(now, 0, state)
+        sweep_us = (time.process_time() - start) * 1e6
+        print(
+            f"workers {workers}: heartbeat {beat_us:.0f} us, start"
+            f" {place_us:.0f} us (of {grants}), idle tick {idle_us:.0f} us,"
+            f" sweep {sweep_us:.0f} us"
+        )
+
+
+def _memory() -> None:
+    for tasks in (1000, 10_000, 50_000):
+        gc.collect()
+        before = _resident_mb()
+        state, _ = _fleet(max(tasks // TASKS_PER_WORKER, 60), tasks)
+        state.events.clear()
+        gc.collect()
+        used = (_resident_mb() - before) * 1024 * 1024
+        start = time.process_time()
+        data = state_lib.encode(state)
+        encode_ms = (time.process_time() - start) * 1000
+        print(
+            f"tasks {tasks}: {used / tasks:.0f} bytes resident each, snapshot"
+            f" {len(data) / tasks:.0f} bytes each, encoded in {encode_ms:.0f} ms"
+        )
+        del state, data
+
+
+def _teams() -> None:
+    for teams in (10, 710):
+        state, index = _fleet(100, 100, teams)
+        for number in range(2000):
+            spec = commands.JobSpec(
+                f"q-{number}", f"team-{number % teams}", needs=commands.Resources(1, 1)
+            )
+            machine.apply(state, index + number, commands.SubmitJob(spec, 0))
+        chief = leader.Leader(leader.LeaseSettings(), random.Random(1))
+        chief.take_office(0.0, state)
+        start = time.process_time()
+        count = len(chief.tick(1.0, 0, state))
+        per_start = (time.process_time() - start) / count * 1e6
+        print(f"teams {teams}: decision {per_start:.0f} us per start of {count}")
+
+
+def _routing() -> None:
+    for endpoints in (24, 100, 1000):
+        router = routing.Router(3.0, random.Random(3))
+        views = tuple(
+            requests.EndpointView(
+                f"p{item}", 1, "s", "127.0.0.1", 1, "", True, 8, 64, 1, 8
+            )
+            for item in range(endpoints)
+        )
+        router.open_session(1)
+        router.apply_view(0.0, requests.EntryView(3000, "v", True, 1, views))
+
+        def route(router: routing.Router = router) -> None:
+            wanted = routing.Wanted(1, "s", "c", 2.0)
+            assignment = router.admit(0.0, wanted)
+            assert isinstance(assignment, routing.Assignment)
+            router.release(0.001, assignment, routing.Ending.ANSWERED)
+
+        print(
+            f"endpoints {endpoints}: routing choice"
+            f" {report.cpu_per_call(route, 1000):.0f} us"
+        )
+
+
+def _log() -> None:
+    spec = commands.JobSpec("job-123456", "team-12", "class-3")
+    sizes = {
+        "submit": commands.SubmitJob(spec, 1_800_000_000_000),
+        "grant": commands.GrantLease("job-123456", "w1234", 1, 1, 1_800_000_000_000),
+        "started": commands.ReportTask(
+            "job-123456", 1, "w1234", commands.TaskEvent.STARTED, 0, 0, 1_800_000_000_000
+        ),
+        "ticket": commands.SubmitTicket(
+            1, (commands.ServicePolicy(name="booking"),), "anna", 1_800_000_000_000
+        ),
+    }
+    for name, command in sizes.items():
+        print(f"log bytes {name}: {len(commands.encode(command))}; renewal: 0")
+    with tempfile.TemporaryDirectory() as folder:
+        store = storage.Storage(pathlib.Path(folder))
+        store.load()
+        index = 0
+        for batch in (1, 8, 64):
+            start = time.perf_counter()
+            for _ in range(200):
+                entries = []
+                for _ in range(batch):
+                    index += 1
+                    entries.append(
+                        messages.Entry(
+                            index, 1, messages.EntryKind.COMMAND, b"x" * 120
+                        )
+                    )
+                store.write(consensus.Output(entries=entries), [])
+            rate = 200 * batch / (time.perf_counter() - start)
+            print(f"synced entries/s in groups of {batch}: {rate:.0f}")
+
+
+def _restart() -> None:
+    for tickets in (500, 10_000):
+        with tempfile.TemporaryDirectory() as folder:
+            store = storage.Storage(pathlib.Path(folder))
+            store.load()
+            entries = []
+            for number in range(1, tickets + 1):
+                item = commands.DrainState(f"w{number % 50}", True)
+                command = commands.SubmitTicket(number, (item,), "anna", 0)
+                entries.append(
+                    messages.Entry(
+                        number, 1, messages.EntryKind.COMMAND, commands.encode(command)
+                    )
+                )
+            for first in range(0, tickets, 50):
+                store.write(
+                    consensus.Output(entries=entries[first : first + 50]), []
+                )
+            store.close()
+            start = time.perf_counter()
+            saved = storage.Storage(pathlib.Path(folder)).load()
+            state = state_lib.State()
+            for entry in saved.entries:
+                machine.apply(state, entry.index, commands.decode(entry.data))
+            elapsed = (time.perf_counter() - start) * 1000
+            print(f"restart after {tickets} tickets: {elapsed:.0f} ms")
+
+
+def main() -> None:
+    """Runs all parts."""
+    _memory()
+    _workers()
+    _teams()
+    _routing()
+    _log()
+    _restart()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,50 @@
+"""Shared arithmetic of the benchmarks."""
+
+import os
+import pathlib
+import statistics
+import time
+from collections.abc import Callable
+from collections.abc import Sequence
+
+PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Returns the value below which a share of the values lies."""
+    ordered = sorted(values)
+    position = min(len(ordered) - 1, int(share * len(ordered)))
+    return ordered[position]
+
+
+def spread(values: Sequence[float], digits: int = 2) -> str:
+    """Returns median, minimum and maximum as text."""
+    middle = statistics.median(values)
+    low, high = min(values), max(values)
+    return f"{middle:.{digits}f} ({low:.{digits}f} to {high:.{digits}f})"
+
+
+def cpu_per_call(action: Callable[[], object], calls: int) -> float:
+    """Returns the processor time of one call, in microseconds."""
+    before = time.process_time()
+    for _ in range(calls):
+        action()
+    return (time.process_time() - before) / calls * 1e6
+
+
+def memory_mb(pid: int) -> tuple[float, float]:
+    """Returns a process's resident and private memory, in MB."""
+    text = pathlib.Path(f"/proc/{pid}/smaps_rollup").read_text()
+    kb = {
+        line.split(":")[0]: int(line.split()[1])
+        for line in text.splitlines()[1:]
+        if line.endswith("kB")
+    }
+    private = kb["Private_Clean"] + kb["Private_Dirty"]
+    return kb["Rss"] / 1024, private / 1024
+
+
+def cpu_seconds(pid: int) -> float:
+    """Returns the processor time that a process has used."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -22,6 +22,7 @@
 from fulmarrouter import consensus
 from fulmarrouter import errors
 from fulmarrouter import messages
+from fulmarrouter import raft_log
 from fulmarrouter import settings as settings_lib
 from fulmarrouter import storage
 from fulmarrouter import wire
@@ -90,7 +91,7 @@
     membership = messages.Membership(
         tuple(commands.KeeperAddress(name, "127.0.0.1", 1) for name in names)
     )
-    snapshot = storage.raft_log.SnapshotData(1, 1, membership, b"")
+    snapshot = raft_log.SnapshotData(1, 1, membership, b"")
     saved = consensus.Saved(consensus.HardState(), snapshot, ())
     replica = consensus.Replica(
         "k1", saved, consensus.Timing(), random.Random(1), 0.0
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -346,7 +346,7 @@
 def _follower(context: Any) -> str:
     leader = context.deployment.leader()
     return next(
-        name
+        str(name)
         for name in context.deployment.keeper_addresses
         if name != leader and context.deployment.process_by_name[name].alive
     )
@@ -577,7 +577,7 @@
         if answer is None or answer.status != 200:
             return False
         ticket = answer.json()["tickets"][0]
-        return len(ticket["confirmed"]) == 2 and ticket["in_force"]
+        return len(ticket["confirmed"]) == 2 and bool(ticket["in_force"])
 
     assert deployment_lib.wait_until(is_confirmed, seconds)
 
@@ -614,7 +614,7 @@
         found = {
             item["keeper"]: item["match_index"] for item in status["keepers"]
         }
-        return found[context.killed] >= status["commit_index"] - 5
+        return bool(found[context.killed] >= status["commit_index"] - 5)
 
     assert deployment_lib.wait_until(is_level, seconds), (
         context.deployment.status()
--- a/features/support/deployment.py
+++ b/features/support/deployment.py
@@ -237,11 +237,14 @@
     def wait_ready(self, timeout: float = START_TIMEOUT_S) -> bool:
         """Waits until every entry that runs takes requests."""
         return all(
-            wait_until(lambda name=name: self.is_ready(name), timeout)
+            self._wait_one(name, timeout)
             for name in self.entry_addresses
             if self.process_by_name[name].alive
         )
 
+    def _wait_one(self, name: str, timeout: float) -> bool:
+        return bool(wait_until(lambda: self.is_ready(name), timeout))
+
     def is_ready(self, name: str) -> bool:
         try:
             answer = call(
--- a/features/support/histories.py
+++ b/features/support/histories.py
@@ -306,7 +306,7 @@
 
 def run_machine(examples: int, steps: int) -> None:
     """Runs histories that are the same in every run."""
-    stateful.run_state_machine_as_test(  # type: ignore[no-untyped-call]
+    stateful.run_state_machine_as_test(
         Machine,
         settings=hypothesis_settings(
             max_examples=examples,
--- a/features/support/mutations.py
+++ b/features/support/mutations.py
@@ -12,8 +12,8 @@
 from fulmarrouter import commands
 from fulmarrouter import consensus
 from fulmarrouter import jobs
-from fulmarrouter import keeper
 from fulmarrouter import leader
+from fulmarrouter import machine
 from fulmarrouter import messages
 from fulmarrouter import state as state_lib
 
@@ -162,7 +162,7 @@
 
 @mutation("evicted work starts again from its beginning")
 def lost_checkpoint() -> contextlib.AbstractContextManager[Any]:
-    original = keeper.machine.apply
+    original = machine.apply
 
     def careless(state: state_lib.State, index: int, command: Any) -> Any:
         result = original(state, index, command)
@@ -172,7 +172,7 @@
                 job.checkpoint = 0
         return result
 
-    return mock.patch.object(keeper.machine, "apply", careless)
+    return mock.patch.object(machine, "apply", careless)
 
 
 @mutation("a keeper with a lost disk votes")
--- a/model/lease.pml
+++ b/model/lease.pml
@@ -10,7 +10,7 @@
 #define MAX_EPOCH 2
 #define NOBODY 2
 #ifdef EARLY_EXPIRY
-#define KEEPER_LEASE 1
+#define KEEPER_LEASE 0
 #else
 #define KEEPER_LEASE LEASE
 #endif
