Predict a worker's whole inflation before batch is placed on it

Change: the baseline rises with time, not with reports; throttled reports teach nothing; a normalized least-mean-squares step; jobs planned in a tick count at once; batch waits where the predicted inflation of a service passes a limit.

--- a/bench/cost_bench.py
+++ b/bench/cost_bench.py
@@ -25,7 +25,9 @@
     return report.memory_mb(int(pathlib.Path("/proc/self").resolve().name))[0]
 
 
-def _fleet(workers: int, tasks: int, teams: int = 10) -> tuple[state_lib.State, int]:
+def _fleet(
+    workers: int, tasks: int, teams: int = 10
+) -> tuple[state_lib.State, int]:
     """Builds a state with running tasks through the real apply step."""
     state = state_lib.State()
     index = 0
@@ -35,7 +37,11 @@
         announcement = commands.AnnounceWorker(f"w{number}", 1, capacity)
         machine.apply(state, index, announcement)
     for number in range(tasks):
-        kind = commands.JobKind.SERVICE if number % 6 == 0 else commands.JobKind.BATCH
+        kind = (
+            commands.JobKind.SERVICE
+            if number % 6 == 0
+            else commands.JobKind.BATCH
+        )
         spec = commands.JobSpec(
             f"job-{number}",
             f"team-{number % teams}",
@@ -100,7 +106,9 @@
             now += 0.06
             for command in chief.tick(now, 0, state):
                 index += 1
-                machine.apply(state, index, commands.decode(commands.encode(command)))
+                machine.apply(
+                    state, index, commands.decode(commands.encode(command))
+                )
                 grants += isinstance(command, commands.GrantLease)
         place_us = (time.process_time() - before) / max(grants, 1) * 1e6
         chief.tick(now + 0.3, 0, state)
@@ -139,7 +147,9 @@
         state, index = _fleet(100, 100, teams)
         for number in range(2000):
             spec = commands.JobSpec(
-                f"q-{number}", f"team-{number % teams}", needs=commands.Resources(1, 1)
+                f"q-{number}",
+                f"team-{number % teams}",
+                needs=commands.Resources(1, 1),
             )
             machine.apply(state, index + number, commands.SubmitJob(spec, 0))
         chief = leader.Leader(leader.LeaseSettings(), random.Random(1))
@@ -147,7 +157,9 @@
         start = time.process_time()
         count = len(chief.tick(1.0, 0, state))
         per_start = (time.process_time() - start) / count * 1e6
-        print(f"teams {teams}: decision {per_start:.0f} us per start of {count}")
+        print(
+            f"teams {teams}: decision {per_start:.0f} us per start of {count}"
+        )
 
 
 def _routing() -> None:
@@ -176,14 +188,25 @@
 
 def _log() -> None:
     spec = commands.JobSpec("job-123456", "team-12", "class-3")
-    sizes = {
+    sizes: dict[str, commands.AnyCommand] = {
         "submit": commands.SubmitJob(spec, 1_800_000_000_000),
-        "grant": commands.GrantLease("job-123456", "w1234", 1, 1, 1_800_000_000_000),
+        "grant": commands.GrantLease(
+            "job-123456", "w1234", 1, 1, 1_800_000_000_000
+        ),
         "started": commands.ReportTask(
-            "job-123456", 1, "w1234", commands.TaskEvent.STARTED, 0, 0, 1_800_000_000_000
+            "job-123456",
+            1,
+            "w1234",
+            commands.TaskEvent.STARTED,
+            0,
+            0,
+            1_800_000_000_000,
         ),
         "ticket": commands.SubmitTicket(
-            1, (commands.ServicePolicy(name="booking"),), "anna", 1_800_000_000_000
+            1,
+            (commands.ServicePolicy(name="booking"),),
+            "anna",
+            1_800_000_000_000,
         ),
     }
     for name, command in sizes.items():
@@ -219,7 +242,10 @@
                 command = commands.SubmitTicket(number, (item,), "anna", 0)
                 entries.append(
                     messages.Entry(
-                        number, 1, messages.EntryKind.COMMAND, commands.encode(command)
+                        number,
+                        1,
+                        messages.EntryKind.COMMAND,
+                        commands.encode(command),
                     )
                 )
             for first in range(0, tickets, 50):
--- a/bench/path_bench.py
+++ b/bench/path_bench.py
@@ -20,7 +20,9 @@
 KILLS = 12
 
 
-def _series(address: str, path: str, count: int, method: str = "GET") -> list[float]:
+def _series(
+    address: str, path: str, count: int, method: str = "GET"
+) -> list[float]:
     host, port = address.split(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=10)
     elapsed = []
@@ -41,7 +43,9 @@
     for _ in range(RUNS):
         direct = _series(endpoint, "/x", REQUESTS)
         through = _series(entry, "/call/booking/x", REQUESTS)
-        keyed.append(statistics.median(_series(entry, "/call/booking/x", 200, "POST")))
+        keyed.append(
+            statistics.median(_series(entry, "/call/booking/x", 200, "POST"))
+        )
         direct_p50.append(statistics.median(direct))
         for name, share in cases.items():
             difference = report.percentile(through, share) - report.percentile(
@@ -59,22 +63,33 @@
     for _ in range(3):
         start = time.perf_counter()
         with concurrent.futures.ThreadPoolExecutor(6) as pool:
-            list(pool.map(lambda _: _series(entry, "/call/booking/x", 400), range(6)))
+            list(
+                pool.map(
+                    lambda _: _series(entry, "/call/booking/x", 400), range(6)
+                )
+            )
         rates.append(6 * 400 / (time.perf_counter() - start))
     print(f"requests/s through one entry, 6 callers: {report.spread(rates, 0)}")
 
 
 def _memory(deployment: deployment_lib.Deployment, when: str) -> None:
     for name in ("e1", deployment.leader()):
-        resident, private = report.memory_mb(deployment.process_by_name[name].pid)
-        print(f"memory {when} {name} MB: resident {resident:.1f} private {private:.1f}")
+        resident, private = report.memory_mb(
+            deployment.process_by_name[name].pid
+        )
+        print(
+            f"memory {when} {name} MB: resident {resident:.1f} private {private:.1f}"
+        )
 
 
 def _idle(deployment: deployment_lib.Deployment) -> None:
     leader = deployment.leader()
-    follower = next(name for name in deployment.keeper_addresses if name != leader)
+    follower = next(
+        name for name in deployment.keeper_addresses if name != leader
+    )
     pids = {
-        name: deployment.process_by_name[name].pid for name in ("e1", leader, follower)
+        name: deployment.process_by_name[name].pid
+        for name in ("e1", leader, follower)
     }
     before = {name: report.cpu_seconds(pid) for name, pid in pids.items()}
     time.sleep(6)
@@ -88,7 +103,11 @@
     first = deployment.entries[0]
     elapsed = []
     for number in range(1, 16):
-        item = {"type": "drain_state", "name": "none", "draining": bool(number % 2)}
+        item = {
+            "type": "drain_state",
+            "name": "none",
+            "draining": bool(number % 2),
+        }
         start = time.perf_counter()
         deployment_lib.call(
             first, "POST", "/v1/tickets", {"number": number, "items": [item]}
--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -139,7 +139,11 @@
             for copy in range(2):
                 job = f"service-{worker}-{copy}"
                 spec = commands.JobSpec(
-                    job, "web", name, commands.JobKind.SERVICE, needs=SERVICE_NEEDS
+                    job,
+                    "web",
+                    name,
+                    commands.JobKind.SERVICE,
+                    needs=SERVICE_NEEDS,
                 )
                 self._apply(commands.SubmitJob(spec, 0))
                 self._apply(commands.GrantLease(job, f"w{worker}", 1, 1, 0))
@@ -152,7 +156,9 @@
         for _ in range(count):
             self.number += 1
             error = self.case.size_error
-            size = self.rng.choice([1 / error, 1.0, error]) if error > 1 else 1.0
+            size = (
+                self.rng.choice([1 / error, 1.0, error]) if error > 1 else 1.0
+            )
             spec = commands.JobSpec(
                 f"job-{self.number}",
                 f"team-{self.number % 5}",
@@ -161,7 +167,9 @@
                 idempotent=True,
                 checkpoints=True,
             )
-            self.left_by_job[spec.job] = self.rng.uniform(30, 60) * min(size, 1.5)
+            self.left_by_job[spec.job] = self.rng.uniform(30, 60) * min(
+                size, 1.5
+            )
             self._apply(commands.SubmitJob(spec, 0))
 
     def _load(self) -> float:
@@ -233,7 +241,13 @@
             stopped = commands.TaskEvent.STOPPED
             self._apply(
                 commands.ReportTask(
-                    stop.job, stop.epoch, f"w{worker}", stopped, stop.epoch, 0, 0
+                    stop.job,
+                    stop.epoch,
+                    f"w{worker}",
+                    stopped,
+                    stop.epoch,
+                    0,
+                    0,
                 )
             )
         for start in orders.start:
@@ -291,10 +305,14 @@
     chooser = POLICY_BY_NAME[policy]
     with contextlib.ExitStack() as stack:
         if chooser is not None:
-            stack.enter_context(mock.patch.object(placement, "choose_worker", chooser))
+            stack.enter_context(
+                mock.patch.object(placement, "choose_worker", chooser)
+            )
             stack.enter_context(
                 mock.patch.object(
-                    pressure.Pressure, "step_of", lambda self, worker: pressure.Step.OPEN
+                    pressure.Pressure,
+                    "step_of",
+                    lambda self, worker: pressure.Step.OPEN,
                 )
             )
         return _Sim(seed, case).run()
@@ -305,7 +323,8 @@
         print(f"placement, {case.name}:")
         for policy in POLICY_BY_NAME:
             futures = [
-                pool.submit(_run_placement, seed, case, policy) for seed in SEEDS
+                pool.submit(_run_placement, seed, case, policy)
+                for seed in SEEDS
             ]
             runs = [future.result() for future in futures]
             print(
@@ -328,7 +347,9 @@
 class _Routing:
     """Endpoints in simulated time around a real routing core."""
 
-    def __init__(self, seed: int, load: float, wave: bool, chooser: str) -> None:
+    def __init__(
+        self, seed: int, load: float, wave: bool, chooser: str
+    ) -> None:
         self.rng = random.Random(seed)
         self.wave = wave
         self.rate = load * ENDPOINTS * SLOTS / MEAN_S
@@ -337,7 +358,17 @@
         )
         views = tuple(
             requests.EndpointView(
-                f"p{item}", 1, "s", "127.0.0.1", 1, "", True, SLOTS, 64, 1, SLOTS
+                f"p{item}",
+                1,
+                "s",
+                "127.0.0.1",
+                1,
+                "",
+                True,
+                SLOTS,
+                64,
+                1,
+                SLOTS,
             )
             for item in range(ENDPOINTS)
         )
@@ -397,15 +428,26 @@
     seed: int, load: float, wave: bool, chooser: str
 ) -> tuple[list[float], float, dict[str, int]]:
     run = _Routing(seed, load, wave, chooser).run()
-    points = [report.percentile(run.elapsed, share) * 1000 for share in (0.5, 0.99, 0.999)]
+    points = [
+        report.percentile(run.elapsed, share) * 1000
+        for share in (0.5, 0.99, 0.999)
+    ]
     capacity = ENDPOINTS * SLOTS / MEAN_S * ROUTING_S
     goodput = len(run.elapsed) / min(run.offered, capacity)
     return points, goodput, run.refused
 
 
 def _routes(pool: concurrent.futures.Executor) -> None:
-    for load, wave in ((0.7, False), (0.7, True), (0.9, False), (1.2, False), (2.0, False)):
-        print(f"routing, load {load}{' with slow endpoints in waves' if wave else ''}:")
+    for load, wave in (
+        (0.7, False),
+        (0.7, True),
+        (0.9, False),
+        (1.2, False),
+        (2.0, False),
+    ):
+        print(
+            f"routing, load {load}{' with slow endpoints in waves' if wave else ''}:"
+        )
         for chooser in choosing.CHOOSER_BY_NAME:
             futures = [
                 pool.submit(_run_routing, seed, load, wave, chooser)
@@ -413,7 +455,8 @@
             ]
             runs = [future.result() for future in futures]
             p50, p99, p999 = (
-                statistics.median(run[0][item] for run in runs) for item in range(3)
+                statistics.median(run[0][item] for run in runs)
+                for item in range(3)
             )
             goodput = report.spread([run[1] for run in runs], 3)
             print(
--- a/bench/report.py
+++ b/bench/report.py
@@ -46,5 +46,7 @@
 
 def cpu_seconds(pid: int) -> float:
     """Returns the processor time that a process has used."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    fields = (
+        pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    )
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/fulmarrouter/interference.py
+++ b/fulmarrouter/interference.py
@@ -13,9 +13,18 @@
 PRIOR_WEIGHT = 2.0
 LEARNING_RATE = 0.3
 MAX_WEIGHT = 50.0
-BASELINE_RISE = 0.002
+BASELINE_RISE_PER_S = 0.0002
 ALONE_RATE = 0.2
 UNCERTAINTY = 0.15
+MIN_BASELINE = 1e-9
+
+
+@dataclasses.dataclass
+class _Baseline:
+    """What a task of a class measures when nothing disturbs it."""
+
+    value: float
+    updated_at: float
 
 
 @dataclasses.dataclass
@@ -61,40 +70,47 @@
 
     def __init__(self) -> None:
         self._by_pair: dict[tuple[str, str], _Estimate] = {}
-        self._baseline_by_class: dict[str, float] = {}
+        self._baseline_by_class: dict[str, _Baseline] = {}
 
     def observe(
-        self, victim: str, measured: float, count_by_class: dict[str, int]
+        self,
+        now: float,
+        victim: str,
+        measured: float,
+        count_by_class: dict[str, int],
+        is_typical: bool = True,
     ) -> float:
         """Learns from one measurement.
 
         Args:
+            now: Time at which it became known, in seconds.
             victim: Class of the measured task.
             measured: Its latency, or its time per unit of work.
             count_by_class: What shared the worker then, without the task.
+            is_typical: Whether what it shared the worker with ran freely.
 
         Returns:
             The inflation observed: 0 for none, 1 for twice the baseline.
         """
         is_alone = not any(count_by_class.values())
-        baseline = self._update_baseline(victim, measured, is_alone)
+        baseline = self._update_baseline(now, victim, measured, is_alone)
         inflation = max(0.0, measured / baseline - 1.0)
-        if is_alone:
+        if is_alone or not is_typical:
             return inflation
         predicted = sum(
             self.expected(victim, other) * count
             for other, count in count_by_class.items()
         )
-        total = sum(count_by_class.values())
+        power = sum(count * count for count in count_by_class.values())
         error = inflation - predicted
         for other, count in count_by_class.items():
             if count == 0:
                 continue
             estimate = self._by_pair.setdefault((victim, other), _Estimate())
             rate = max(LEARNING_RATE / estimate.weight**0.5, 1.0 / MAX_WEIGHT)
-            estimate.inflation = max(
-                0.0, estimate.inflation + rate * error / total
-            )
+            # The normalized least-mean-squares step of this class.
+            change = rate * error * count / power
+            estimate.inflation = max(0.0, estimate.inflation + change)
             estimate.weight = min(MAX_WEIGHT, estimate.weight + 1.0)
         return inflation
 
@@ -110,15 +126,18 @@
         return self.expected(victim, other) + UNCERTAINTY / weight
 
     def _update_baseline(
-        self, victim: str, measured: float, is_alone: bool
+        self, now: float, victim: str, measured: float, is_alone: bool
     ) -> float:
         known = self._baseline_by_class.get(victim)
         if known is None:
-            baseline = measured
+            known = _Baseline(max(measured, MIN_BASELINE), now)
+            self._baseline_by_class[victim] = known
         elif is_alone:
-            baseline = known + ALONE_RATE * (measured - known)
+            known.value += ALONE_RATE * (measured - known.value)
         else:
             # The lowest value seen, allowed to rise slowly when load shifts.
-            baseline = min(measured, known * (1.0 + BASELINE_RISE))
-        self._baseline_by_class[victim] = max(baseline, 1e-9)
-        return self._baseline_by_class[victim]
+            rise = BASELINE_RISE_PER_S * max(0.0, now - known.updated_at)
+            known.value = min(measured, known.value * (1.0 + rise))
+        known.value = max(known.value, MIN_BASELINE)
+        known.updated_at = now
+        return known.value
--- a/fulmarrouter/leader.py
+++ b/fulmarrouter/leader.py
@@ -27,6 +27,8 @@
 PROBATION_FAILURES = 3
 PROBATION_MAX_FRACTION = 0.25
 RESERVATION_S = 10.0
+# An older report teaches the estimator, but what it tells may be over.
+MAX_REACTION_AGE_MS = 15_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,6 +68,20 @@
     until: float
 
 
+@dataclasses.dataclass
+class _Planned:
+    """What one tick's decisions have put on a worker so far."""
+
+    needs: commands.Resources = commands.Resources()
+    tasks: tuple[placement.Task, ...] = ()
+
+    def add(self, spec: commands.JobSpec) -> None:
+        """Adds a job, so that the tick's next decision reckons with it."""
+        task = placement.Task(spec.job, spec.task_class, spec.kind)
+        self.needs = self.needs.plus(spec.needs)
+        self.tasks = (*self.tasks, task)
+
+
 @dataclasses.dataclass
 class _EntryInfo:
     lease_until: float
@@ -243,6 +259,9 @@
         if worker is None:
             return
         info.history.note(now, _count_classes(state, worker))
+        step = self.pressure.step_of(request.worker)
+        # A throttled neighbour shows less than its full effect.
+        is_typical = step < pressure.Step.THROTTLED
         for usage in request.usage:
             job = state.job_by_id.get(usage.job)
             sharing_then = info.history.at(now - usage.age_ms / 1000.0)
@@ -253,11 +272,14 @@
             others[own_class] = max(0, others.get(own_class, 0) - 1)
             if usage.tail_ms > 0:
                 inflation = self.estimator.observe(
-                    own_class, usage.tail_ms, others
+                    now, own_class, usage.tail_ms, others, is_typical
                 )
-                self.pressure.observe(now, request.worker, inflation)
+                if usage.age_ms <= MAX_REACTION_AGE_MS:
+                    self.pressure.observe(now, request.worker, inflation)
             elif usage.work_rate > 0:
-                self.estimator.observe(own_class, 1.0 / usage.work_rate, others)
+                self.estimator.observe(
+                    now, own_class, 1.0 / usage.work_rate, others
+                )
 
     # Endpoints and entries.
 
@@ -652,7 +674,7 @@
             for worker, info in self._worker_by_id.items()
             if info.deadline > now and not info.leaving
         ]
-        taken: dict[str, commands.Resources] = {}
+        planned: dict[str, _Planned] = {}
         held_by_team: dict[str, commands.Resources] = {}
         weights = _weights(state)
         self._reservation_by_job = {
@@ -673,7 +695,7 @@
             chosen = placement.choose_worker(
                 job.spec,
                 workers,
-                self._lookup_for(state, job, taken),
+                self._lookup_for(state, job, planned),
                 self.estimator,
                 weights,
                 self._rng,
@@ -688,9 +710,7 @@
             self.waiting_for.pop(job.spec.job, None)
             self._reservation_by_job.pop(job.spec.job, None)
             held_by_team[team] = held
-            taken[chosen.worker] = taken.get(
-                chosen.worker, commands.Resources()
-            ).plus(job.spec.needs)
+            planned.setdefault(chosen.worker, _Planned()).add(job.spec)
             proposals.append(
                 commands.GrantLease(
                     job=job.spec.job,
@@ -708,10 +728,11 @@
         self,
         state: state_lib.State,
         job: state_lib.Job,
-        taken: dict[str, commands.Resources],
+        planned: dict[str, _Planned],
     ) -> placement.Lookup:
         is_urgent = job.spec.priority is commands.Priority.URGENT
         reserved = self._reserved_workers()
+        nothing = _Planned()
 
         def lookup(worker_id: str) -> placement.Candidate | None:
             worker = state.worker_by_id.get(worker_id)
@@ -723,15 +744,14 @@
                 return None
             if worker_id in reserved and not is_urgent:
                 return None
-            free = jobs.free_capacity(worker)
-            if worker_id in taken:
-                free = free.minus(taken[worker_id])
+            added = planned.get(worker_id, nothing)
+            free = jobs.free_capacity(worker).minus(added.needs)
             step = self.pressure.step_of(worker_id)
             return placement.Candidate(
                 worker=worker_id,
                 capacity=worker.announcement.capacity,
                 free=free,
-                tasks=_tasks_of(state, worker),
+                tasks=_tasks_of(state, worker) + added.tasks,
                 closed_to_batch=step >= pressure.Step.CLOSED,
             )
 
--- a/fulmarrouter/placement.py
+++ b/fulmarrouter/placement.py
@@ -10,8 +10,10 @@
 
 SAMPLE_SIZE = 12
 SCAN_SIZE = 64
-PROTECTED_INFLATION = 0.2
+PROTECTED_INFLATION = 0.17
 SPREAD_WEIGHT = 0.05
+MIN_LENIENCE = 0.5
+MAX_LENIENCE = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,36 +43,80 @@
 Lookup = Callable[[str], Candidate | None]
 
 
-def score(
+@dataclasses.dataclass(frozen=True)
+class Prediction:
+    """What is expected of a worker's tasks once a job has been added.
+
+    Attributes:
+        tail: Inflation that the job adds to services, its own included.
+        slowdown: Inflation that it adds to batch, its own included.
+        worst: Highest inflation of a service, everything on the worker counted.
+    """
+
+    tail: float
+    slowdown: float
+    worst: float
+
+
+def predict(
     spec: commands.JobSpec,
-    candidate: Candidate,
+    tasks: Sequence[Task],
     estimator: interference.Estimator,
-    weights: commands.PlacementPolicy,
-) -> float:
-    """Returns the cost of placing a job on a worker; lower is better."""
-    tail = 0.0
-    slowdown = 0.0
-    for task in candidate.tasks:
-        if task.kind is commands.JobKind.SERVICE:
-            tail += estimator.cautious(task.task_class, spec.task_class)
-        else:
-            slowdown += estimator.expected(task.task_class, spec.task_class)
+) -> Prediction:
+    """Predicts the effect of adding a job to the tasks of a worker."""
+    count_by_class: dict[str, int] = {}
+    services: dict[str, int] = {}
+    batch: dict[str, int] = {}
+    for task in tasks:
+        count_by_class[task.task_class] = (
+            count_by_class.get(task.task_class, 0) + 1
+        )
+        is_service = task.kind is commands.JobKind.SERVICE
+        group = services if is_service else batch
+        group[task.task_class] = group.get(task.task_class, 0) + 1
     suffered = sum(
-        estimator.expected(spec.task_class, task.task_class)
-        for task in candidate.tasks
+        estimator.expected(spec.task_class, name) * count
+        for name, count in count_by_class.items()
+    )
+    tail = 0.0
+    worst = 0.0
+    for name, count in services.items():
+        added = estimator.cautious(name, spec.task_class)
+        present = sum(
+            estimator.expected(name, other) * other_count
+            for other, other_count in batch.items()
+        )
+        tail += added * count
+        worst = max(worst, present + added)
+    slowdown = sum(
+        estimator.expected(name, spec.task_class) * count
+        for name, count in batch.items()
     )
     if spec.kind is commands.JobKind.SERVICE:
-        tail += suffered
-    else:
-        slowdown += suffered
+        return Prediction(tail + suffered, slowdown, max(worst, suffered))
+    return Prediction(tail, slowdown + suffered, worst)
+
+
+def tolerated_inflation(weights: commands.PlacementPolicy) -> float:
+    """Returns the inflation of services beyond which batch has to wait."""
+    ratio = weights.throughput_weight / max(weights.tail_weight, 0.01)
+    return PROTECTED_INFLATION * min(MAX_LENIENCE, max(MIN_LENIENCE, ratio))
+
+
+def score(
+    prediction: Prediction,
+    candidate: Candidate,
+    weights: commands.PlacementPolicy,
+) -> float:
+    """Returns the cost of placing a job on a worker; lower is better."""
     used = 1.0 - candidate.free.millicores / max(
         candidate.capacity.millicores, 1
     )
     # Beyond the protected inflation a later eviction becomes likely.
-    risk = max(0.0, tail - PROTECTED_INFLATION)
+    risk = max(0.0, prediction.worst - PROTECTED_INFLATION)
     return (
-        weights.tail_weight * tail
-        + weights.throughput_weight * slowdown
+        weights.tail_weight * prediction.tail
+        + weights.throughput_weight * prediction.slowdown
         + weights.eviction_weight * risk
         + SPREAD_WEIGHT * used
     )
@@ -123,13 +169,17 @@
     best: Candidate | None = None
     best_score = float("inf")
     is_batch = spec.kind is commands.JobKind.BATCH
+    limit = tolerated_inflation(weights)
     for worker in sample:
         candidate = lookup(worker)
         if candidate is None or not spec.needs.fits_in(candidate.free):
             continue
         if is_batch and candidate.closed_to_batch:
             continue
-        candidate_score = score(spec, candidate, estimator, weights)
+        prediction = predict(spec, candidate.tasks, estimator)
+        if is_batch and prediction.worst > limit:
+            continue
+        candidate_score = score(prediction, candidate, weights)
         if candidate_score < best_score:
             best = candidate
             best_score = candidate_score
--- a/fulmarrouter/pressure.py
+++ b/fulmarrouter/pressure.py
@@ -8,8 +8,9 @@
 import dataclasses
 import enum
 
-HIGH_INFLATION = 0.2
-LOW_INFLATION = 0.1
+# Inflation above which a worker takes the step after the one it is on.
+LIMIT_BY_STEP = {0: 0.2, 1: 0.35, 2: 0.5, 3: 0.5}
+LOW_INFLATION = 0.12
 SMOOTHING = 0.4
 ESCALATE_S = 4.0
 RELAX_S = 10.0
@@ -65,7 +66,7 @@
         """Takes one observed inflation in and returns the worker's step."""
         entry = self._by_worker.setdefault(worker, _Worker())
         entry.smoothed += SMOOTHING * (inflation - entry.smoothed)
-        if entry.smoothed > HIGH_INFLATION:
+        if entry.smoothed > LIMIT_BY_STEP[entry.step]:
             entry.below_since = None
             if entry.above_since is None:
                 entry.above_since = now
