--- a/bench/path_bench.py
+++ b/bench/path_bench.py
@@ -58,18 +58,23 @@
     print(f"non-idempotent p50 ms: {report.spread(keyed)}")
 
 
+def _call_entry(entry: str) -> list[float]:
+    return _series(entry, "/call/booking/x", 600)
+
+
 def _throughput(entry: str) -> None:
-    rates = []
-    for _ in range(3):
-        start = time.perf_counter()
-        with concurrent.futures.ThreadPoolExecutor(6) as pool:
-            list(
-                pool.map(
-                    lambda _: _series(entry, "/call/booking/x", 400), range(6)
-                )
-            )
-        rates.append(6 * 400 / (time.perf_counter() - start))
-    print(f"requests/s through one entry, 6 callers: {report.spread(rates, 0)}")
+    """Callers are processes, so that they don't hold each other up."""
+    for callers in (1, 6, 12):
+        rates = []
+        for _ in range(3):
+            with concurrent.futures.ProcessPoolExecutor(callers) as pool:
+                start = time.perf_counter()
+                list(pool.map(_call_entry, [entry] * callers))
+                rates.append(callers * 600 / (time.perf_counter() - start))
+        print(
+            f"requests/s through one entry, {callers} callers:"
+            f" {report.spread(rates, 0)}"
+        )
 
 
 def _memory(deployment: deployment_lib.Deployment, when: str) -> None:
@@ -144,6 +149,30 @@
         print(f"commits/s with {callers} callers: {rate:.0f}")
 
 
+def _heartbeats(deployment: deployment_lib.Deployment) -> None:
+    """Processor time of one worker heartbeat, at the entry and at the leader."""
+    leader = deployment.leader()
+    pids = [deployment.process_by_name[name].pid for name in ("e1", leader)]
+    capacity = {"millicores": 64000, "memory_mb": 250000, "accelerators": 0}
+    count = 1500
+    before = [report.cpu_seconds(pid) for pid in pids]
+    start = time.perf_counter()
+    for number in range(count):
+        body = {
+            "worker": f"w{number % 50}",
+            "incarnation": 1,
+            "capacity": capacity,
+        }
+        fakes.post(deployment.entries[0], "/v1/workers/heartbeat", body)
+    elapsed = time.perf_counter() - start
+    for name, pid, used in zip(("entry", "leader"), pids, before, strict=True):
+        cost = (report.cpu_seconds(pid) - used) / count * 1e6
+        print(
+            f"worker heartbeat at the {name}: {cost:.0f} us of processor time"
+        )
+    print(f"worker heartbeats one after the other: {count / elapsed:.0f}/s")
+
+
 def _elections(deployment: deployment_lib.Deployment) -> None:
     gaps = []
     for _ in range(KILLS):
@@ -162,26 +191,47 @@
     )
 
 
+def _start_endpoints(
+    deployment: deployment_lib.Deployment, folder: pathlib.Path
+) -> list[deployment_lib.Process]:
+    processes = []
+    for name in ("p1", "p2"):
+        arguments = ["features.support.fakes", "endpoint", name]
+        process = deployment_lib.Process(
+            arguments + deployment.entries, folder / f"{name}.log"
+        )
+        process.start()
+        processes.append(process)
+    return processes
+
+
 def main() -> None:
     """Runs all parts on one deployment with the default timeouts."""
-    with tempfile.TemporaryDirectory() as folder:
-        deployment = deployment_lib.Deployment(
-            pathlib.Path(folder), keepers=3, entries=2, fast=False
-        )
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        deployment = deployment_lib.Deployment(folder, fast=False)
+        remotes: list[deployment_lib.Process] = []
         try:
             deployment.start()
             _memory(deployment, "after start")
-            endpoint = fakes.FakeEndpoint("p1", deployment.entries).start()
-            time.sleep(3)
+            remotes = _start_endpoints(deployment, folder)
+            direct = fakes.FakeEndpoint(
+                "p0", deployment.entries, service="other"
+            )
+            direct.start()
+            time.sleep(4)
             _idle(deployment)
-            _latency(deployment.entries[0], f"127.0.0.1:{endpoint.port}")
+            _latency(deployment.entries[0], f"127.0.0.1:{direct.port}")
             _throughput(deployment.entries[0])
             _tickets(deployment)
             _commits(deployment)
+            _heartbeats(deployment)
             _memory(deployment, "under load")
-            endpoint.stop()
+            direct.stop()
             _elections(deployment)
         finally:
+            for remote in remotes:
+                remote.kill()
             deployment.kill_all()
 
 
--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -5,6 +5,7 @@
 whose speed changes in waves. Seeds from 100 on are held out from tuning.
 """
 
+from collections.abc import Callable
 import concurrent.futures
 import contextlib
 import dataclasses
@@ -12,7 +13,6 @@
 import random
 import statistics
 import sys
-from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
@@ -318,8 +318,8 @@
         return _Sim(seed, case).run()
 
 
-def _placement(pool: concurrent.futures.Executor) -> None:
-    for case in CASES:
+def _placement(pool: concurrent.futures.Executor, cases: list[Case]) -> None:
+    for case in cases:
         print(f"placement, {case.name}:")
         for policy in POLICY_BY_NAME:
             futures = [
@@ -467,12 +467,11 @@
 
 
 def main() -> None:
-    """Runs `placement`, `routing`, or both."""
-    parts = sys.argv[1:] or ["placement", "routing"]
+    """Runs everything, or the cases named on the command line."""
+    names = sys.argv[1:] or ["routing", *(case.name for case in CASES)]
     with concurrent.futures.ProcessPoolExecutor(6) as pool:
-        if "placement" in parts:
-            _placement(pool)
-        if "routing" in parts:
+        _placement(pool, [case for case in CASES if case.name in names])
+        if "routing" in names:
             _routes(pool)
 
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -1,11 +1,11 @@
 """Shared arithmetic of the benchmarks."""
 
+from collections.abc import Callable
+from collections.abc import Sequence
 import os
 import pathlib
 import statistics
 import time
-from collections.abc import Callable
-from collections.abc import Sequence
 
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
 
