--- a/bench/cost_bench.py
+++ b/bench/cost_bench.py
@@ -72,6 +72,12 @@
     return requests.WorkerHeartbeat(worker, 1, capacity, usage=usage)
 
 
+def _idle_tick(
+    chief: leader.Leader, now: float, state: state_lib.State
+) -> float:
+    return report.cpu_per_call(lambda: chief.tick(now, 0, state), 200)
+
+
 def _workers() -> None:
     for workers in WORKER_COUNTS:
         state, index = _fleet(workers, workers * TASKS_PER_WORKER)
@@ -112,7 +118,7 @@
                 grants += isinstance(command, commands.GrantLease)
         place_us = (time.process_time() - before) / max(grants, 1) * 1e6
         chief.tick(now + 0.3, 0, state)
-        idle_us = report.cpu_per_call(lambda: chief.tick(now, 0, state), 200)
+        idle_us = _idle_tick(chief, now, state)
         now += 1.0
         start = time.process_time()
         chief.tick(now, 0, state)
