Plan placements in a module of its own; waiting jobs hold up nobody

Change: jobs that could not be placed are tried again after 0.5 s, the longest untried first, after those never tried. The leader's placement moved to scheduling, and the two copies of the retention loop became one.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -80,6 +80,12 @@
     When an urgent job of the size of 2 is submitted
     Then 2 jobs are asked to stop and the urgent job is granted next
 
+  Scenario: Jobs that fit nowhere now do not hold up others
+    Given a worker that is full of 4 checkpointing jobs
+    When 600 jobs that need a whole worker are queued before a small one
+    And room for the small one is made
+    Then the small job is granted
+
   Scenario: Slots are divided among entries without remainder
     When 200 random demands are divided
     Then no slot is left over or given twice
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -315,6 +315,31 @@
     assert urgent.phase is state_lib.JobPhase.LEASED, urgent
 
 
+@behave.when(
+    "{count:d} jobs that need a whole worker are queued before a small one"
+)
+def queue_large(context: Any, count: int) -> None:
+    for number in range(count):
+        spec = _spec(f"large{number}", 4000)
+        context.fleet.log.apply(commands.SubmitJob(spec, 0))
+    context.fleet.log.apply(commands.SubmitJob(_spec("small"), 0))
+    context.fleet.run(1.0)
+
+
+@behave.when("room for the small one is made")
+def make_room(context: Any) -> None:
+    succeeded = commands.TaskEvent.SUCCEEDED
+    report = commands.ReportTask("j0", 1, "w0", succeeded, 0, 0, 0)
+    context.fleet.log.apply(report)
+    context.fleet.run(2.0)
+
+
+@behave.then("the small job is granted")
+def small_granted(context: Any) -> None:
+    phase = context.fleet.log.state.job_by_id["small"].phase
+    assert phase is state_lib.JobPhase.LEASED, phase
+
+
 @behave.when("{examples:d} random demands are divided")
 def divide(context: Any, examples: int) -> None:
     context.examples = examples
--- a/fulmarrouter/jobs.py
+++ b/fulmarrouter/jobs.py
@@ -9,10 +9,9 @@
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import record
+from fulmarrouter import retention
 from fulmarrouter import state as state_lib
 
-RETENTION_MS = 72 * 3600 * 1000
-PRUNE_STEP = 4
 QUARANTINE_WORKERS = 3
 QUARANTINE_ATTEMPTS = 6
 
@@ -38,20 +37,6 @@
     return worker.announcement.capacity.minus(worker.committed)
 
 
-def _prune(state: state_lib.State, now_ms: int) -> None:
-    """Forgets ended jobs past their retention, a few at a time."""
-    oldest = [
-        key for key, _ in zip(state.job_by_id, range(PRUNE_STEP), strict=False)
-    ]
-    for key in oldest:
-        job = state.job_by_id[key]
-        if now_ms - job.submitted_ms < RETENTION_MS:
-            return
-        del state.job_by_id[key]
-        if not job.phase.is_final:
-            state.job_by_id[key] = job
-
-
 def _enqueue(state: state_lib.State, job: state_lib.Job) -> None:
     by_team = state.queue_by_priority.setdefault(job.spec.priority.value, {})
     by_team.setdefault(job.spec.team, {})[job.spec.job] = None
@@ -87,7 +72,12 @@
         return commands.Result(
             codes.Code.NEVER_FITS, "needs more than any announced worker holds"
         )
-    _prune(state, command.at_ms)
+    retention.prune_oldest(
+        state.job_by_id,
+        command.at_ms,
+        lambda old: old.submitted_ms,
+        lambda old: old.phase.is_final,
+    )
     job = state_lib.Job(spec, command.at_ms)
     state.job_by_id[spec.job] = job
     _enqueue(state, job)
--- a/fulmarrouter/leader.py
+++ b/fulmarrouter/leader.py
@@ -12,13 +12,12 @@
 from fulmarrouter import commands
 from fulmarrouter import interference
 from fulmarrouter import jobs
-from fulmarrouter import placement
 from fulmarrouter import pressure
 from fulmarrouter import requests
+from fulmarrouter import scheduling
 from fulmarrouter import sharing
 from fulmarrouter import state as state_lib
 
-MAX_GRANTS_PER_TICK = 256
 PLAN_INTERVAL_S = 0.05
 EXPIRY_INTERVAL_S = 0.2
 SHARE_INTERVAL_S = 0.5
@@ -26,7 +25,6 @@
 PROBATION_S = 300.0
 PROBATION_FAILURES = 3
 PROBATION_MAX_FRACTION = 0.25
-RESERVATION_S = 10.0
 # An older report teaches the estimator, but what it tells may be over.
 MAX_REACTION_AGE_MS = 15_000
 
@@ -60,28 +58,6 @@
         return self.outlasting(self.entry_lease + self.request_limit)
 
 
-@dataclasses.dataclass(frozen=True)
-class _Reservation:
-    """A worker on which room is being made for an urgent job."""
-
-    worker: str
-    until: float
-
-
-@dataclasses.dataclass
-class _Planned:
-    """What one tick's decisions have put on a worker so far."""
-
-    needs: commands.Resources = commands.Resources()
-    tasks: tuple[placement.Task, ...] = ()
-
-    def add(self, spec: commands.JobSpec) -> None:
-        """Adds a job, so that the tick's next decision reckons with it."""
-        task = placement.Task(spec.job, spec.task_class, spec.kind)
-        self.needs = self.needs.plus(spec.needs)
-        self.tasks = (*self.tasks, task)
-
-
 @dataclasses.dataclass
 class _EntryInfo:
     lease_until: float
@@ -109,16 +85,16 @@
 
     def __init__(self, settings: LeaseSettings, rng: random.Random) -> None:
         self.settings = settings
-        self.waiting_for: dict[str, str] = {}
         self.estimator = interference.Estimator()
         self.pressure = pressure.Pressure()
-        self._rng = rng
+        self.scheduler = scheduling.Scheduler(
+            self.estimator, self.pressure, rng
+        )
         self._entry_by_session: dict[int, _EntryInfo] = {}
         self._worker_by_id: dict[str, _WorkerInfo] = {}
         self._endpoint_deadline: dict[str, float] = {}
         self._target_by_share: dict[tuple[int, str], int] = {}
         self._target_version = 0
-        self._reservation_by_job: dict[str, _Reservation] = {}
         self._plan_due = 0.0
         self._expiry_due = 0.0
         self._share_due = 0.0
@@ -143,8 +119,7 @@
             state.endpoint_by_id, now + lease.endpoint_lease
         )
         self._target_by_share = {}
-        self._reservation_by_job = {}
-        self.waiting_for = {}
+        self.scheduler.reset()
 
     # Workers.
 
@@ -467,7 +442,12 @@
             proposals += self._plan_shares(now, state)
         if now >= self._plan_due:
             self._plan_due = now + PLAN_INTERVAL_S
-            proposals += self._place(now, wall_ms, state)
+            workers = [
+                worker
+                for worker, info in self._worker_by_id.items()
+                if info.deadline > now and not info.leaving
+            ]
+            proposals += self.scheduler.plan(now, wall_ms, state, workers)
         return proposals
 
     def _expire_workers(
@@ -662,149 +642,6 @@
             self._target_version += 1
         return proposals
 
-    def _place(
-        self, now: float, wall_ms: int, state: state_lib.State
-    ) -> list[commands.AnyCommand]:
-        proposals: list[commands.AnyCommand] = []
-        queued = _in_order(state, MAX_GRANTS_PER_TICK)
-        if not queued:
-            return proposals
-        workers = [
-            worker
-            for worker, info in self._worker_by_id.items()
-            if info.deadline > now and not info.leaving
-        ]
-        planned: dict[str, _Planned] = {}
-        held_by_team: dict[str, commands.Resources] = {}
-        weights = _weights(state)
-        self._reservation_by_job = {
-            job: reservation
-            for job, reservation in self._reservation_by_job.items()
-            if reservation.until > now
-        }
-        for job in queued:
-            team = job.spec.team
-            held = held_by_team.get(team) or state.held_by_team.get(
-                team, commands.Resources()
-            )
-            held = held.plus(job.spec.needs)
-            quota = jobs.quota_of(state, team)
-            if quota is not None and not held.fits_in(quota):
-                self.waiting_for[job.spec.job] = "quota"
-                continue
-            chosen = placement.choose_worker(
-                job.spec,
-                workers,
-                self._lookup_for(state, job, planned),
-                self.estimator,
-                weights,
-                self._rng,
-            )
-            if chosen is None:
-                self.waiting_for[job.spec.job] = "capacity"
-                if job.spec.priority is commands.Priority.URGENT:
-                    proposals += self._preempt(
-                        now, wall_ms, state, job, workers
-                    )
-                continue
-            self.waiting_for.pop(job.spec.job, None)
-            self._reservation_by_job.pop(job.spec.job, None)
-            held_by_team[team] = held
-            planned.setdefault(chosen.worker, _Planned()).add(job.spec)
-            proposals.append(
-                commands.GrantLease(
-                    job=job.spec.job,
-                    worker=chosen.worker,
-                    incarnation=state.worker_by_id[
-                        chosen.worker
-                    ].announcement.incarnation,
-                    epoch=job.epoch + 1,
-                    at_ms=wall_ms,
-                )
-            )
-        return proposals
-
-    def _lookup_for(
-        self,
-        state: state_lib.State,
-        job: state_lib.Job,
-        planned: dict[str, _Planned],
-    ) -> placement.Lookup:
-        is_urgent = job.spec.priority is commands.Priority.URGENT
-        reserved = self._reserved_workers()
-        nothing = _Planned()
-
-        def lookup(worker_id: str) -> placement.Candidate | None:
-            worker = state.worker_by_id.get(worker_id)
-            if worker is None or worker.on_probation:
-                return None
-            if worker_id in job.failed_on and len(state.worker_by_id) > 1:
-                return None
-            if jobs.is_draining(state, worker_id):
-                return None
-            if worker_id in reserved and not is_urgent:
-                return None
-            added = planned.get(worker_id, nothing)
-            free = jobs.free_capacity(worker).minus(added.needs)
-            step = self.pressure.step_of(worker_id)
-            return placement.Candidate(
-                worker=worker_id,
-                capacity=worker.announcement.capacity,
-                free=free,
-                tasks=_tasks_of(state, worker) + added.tasks,
-                closed_to_batch=step >= pressure.Step.CLOSED,
-            )
-
-        return lookup
-
-    def _reserved_workers(self) -> set[str]:
-        return {item.worker for item in self._reservation_by_job.values()}
-
-    def _preempt(
-        self,
-        now: float,
-        wall_ms: int,
-        state: state_lib.State,
-        job: state_lib.Job,
-        workers: list[str],
-    ) -> list[commands.AnyCommand]:
-        """Asks lower-priority tasks on one worker to make room."""
-        if not workers or job.spec.job in self._reservation_by_job:
-            return []
-        reserved = self._reserved_workers()
-        start = self._rng.randrange(len(workers))
-        best: tuple[str, list[placement.Victim]] | None = None
-        for offset in range(min(len(workers), placement.SCAN_SIZE)):
-            worker_id = workers[(start + offset) % len(workers)]
-            worker = state.worker_by_id.get(worker_id)
-            if worker is None or worker_id in reserved:
-                continue
-            if worker.on_probation or jobs.is_draining(state, worker_id):
-                continue
-            victims = placement.choose_victims(
-                job.spec.needs,
-                jobs.free_capacity(worker),
-                _victims_on(state, worker),
-                job.spec.priority,
-            )
-            if victims and (best is None or len(victims) < len(best[1])):
-                best = (worker_id, victims)
-        if best is None:
-            return []
-        worker_id, victims = best
-        self._reservation_by_job[job.spec.job] = _Reservation(
-            worker_id, now + RESERVATION_S
-        )
-        return [
-            commands.RequestStop(
-                victim.job,
-                state.job_by_id[victim.job].epoch,
-                commands.StopReason.EVICT,
-                wall_ms,
-            )
-            for victim in victims
-        ]
-
 
 def _announcement(
     request: requests.WorkerHeartbeat, wall_ms: int
@@ -851,16 +688,6 @@
     return not jobs.is_draining(state, endpoint.announcement.endpoint)
 
 
-def _tasks_of(
-    state: state_lib.State, worker: state_lib.Worker
-) -> tuple[placement.Task, ...]:
-    tasks = []
-    for job_id in worker.jobs:
-        spec = state.job_by_id[job_id].spec
-        tasks.append(placement.Task(job_id, spec.task_class, spec.kind))
-    return tuple(tasks)
-
-
 def _count_classes(
     state: state_lib.State, worker: state_lib.Worker
 ) -> dict[str, int]:
@@ -869,41 +696,3 @@
         task_class = state.job_by_id[job_id].spec.task_class
         count_by_class[task_class] = count_by_class.get(task_class, 0) + 1
     return count_by_class
-
-
-def _victims_on(
-    state: state_lib.State, worker: state_lib.Worker
-) -> list[placement.Victim]:
-    held = [state.job_by_id[job] for job in worker.jobs]
-    return [
-        placement.Victim(job.spec.job, job.spec.needs, job.spec.priority)
-        for job in held
-        if job.phase is state_lib.JobPhase.LEASED and jobs.can_evict(job)
-    ]
-
-
-def _weights(state: state_lib.State) -> commands.PlacementPolicy:
-    known = state.config_by_name.get("placement_policy/default")
-    if known is None or not isinstance(known.item, commands.PlacementPolicy):
-        return commands.PlacementPolicy()
-    return known.item
-
-
-def _in_order(state: state_lib.State, limit: int) -> list[state_lib.Job]:
-    """Returns queued jobs: higher priorities first, teams in turn."""
-    chosen: list[state_lib.Job] = []
-    for priority in sorted(state.queue_by_priority, reverse=True):
-        by_team = state.queue_by_priority[priority]
-        iterators = [iter(by_team[team]) for team in by_team]
-        while iterators and len(chosen) < limit:
-            remaining = []
-            for iterator in iterators:
-                job_id = next(iterator, None)
-                if job_id is None:
-                    continue
-                chosen.append(state.job_by_id[job_id])
-                remaining.append(iterator)
-                if len(chosen) >= limit:
-                    break
-            iterators = remaining
-    return chosen
--- a/fulmarrouter/ledger.py
+++ b/fulmarrouter/ledger.py
@@ -4,25 +4,9 @@
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import record
+from fulmarrouter import retention
 from fulmarrouter import state as state_lib
 
-RETENTION_MS = 72 * 3600 * 1000
-PRUNE_STEP = 4
-
-
-def _prune(state: state_lib.State, now_ms: int) -> None:
-    """Forgets settled runs past their retention, a few at a time."""
-    oldest = [
-        key for key, _ in zip(state.run_by_key, range(PRUNE_STEP), strict=False)
-    ]
-    for key in oldest:
-        run = state.run_by_key[key]
-        if now_ms - run.at_ms < RETENTION_MS:
-            return
-        del state.run_by_key[key]
-        if run.state is commands.RunState.INTENT:
-            state.run_by_key[key] = run
-
 
 def _known_result(run: state_lib.Run) -> commands.Result:
     """Answers a resend of a key that has a record."""
@@ -43,7 +27,12 @@
         return commands.Result(codes.Code.SESSION_ENDED)
     run = state.run_by_key.get(command.key)
     if run is None:
-        _prune(state, command.at_ms)
+        retention.prune_oldest(
+            state.run_by_key,
+            command.at_ms,
+            lambda old: old.at_ms,
+            lambda old: old.state is not commands.RunState.INTENT,
+        )
         state.run_by_key[command.key] = state_lib.Run(
             digest=command.digest,
             state=commands.RunState.INTENT,
--- a/fulmarrouter/queries.py
+++ b/fulmarrouter/queries.py
@@ -40,9 +40,7 @@
 
 
 def _job_view(context: Context, job: state_lib.Job) -> requests.JobView:
-    waiting_for = ""
-    if job.phase is state_lib.JobPhase.QUEUED:
-        waiting_for = context.leader.waiting_for.get(job.spec.job, "")
+    reason = context.leader.scheduler.wait_reason(job.spec.job)
     return requests.JobView(
         spec=job.spec,
         phase=job.phase,
@@ -53,7 +51,7 @@
         exit_code=job.exit_code,
         evictions=job.evictions,
         submitted_ms=job.submitted_ms,
-        waiting_for=waiting_for,
+        waiting_for=reason.value if reason else "",
     )
 
 
--- /dev/null
+++ b/fulmarrouter/scheduling.py
@@ -0,0 +1,320 @@
+"""Plans which queued job runs on which worker, and what makes room for it."""
+
+from collections.abc import Iterator
+import dataclasses
+import enum
+import random
+
+from fulmarrouter import commands
+from fulmarrouter import interference
+from fulmarrouter import jobs
+from fulmarrouter import placement
+from fulmarrouter import pressure
+from fulmarrouter import state as state_lib
+
+MAX_GRANTS_PER_TICK = 256
+MAX_LOOKED_AT_PER_TICK = 4096
+RESERVATION_S = 10.0
+RETRY_WAITING_S = 0.5
+FORGET_INTERVAL_S = 1.0
+
+
+class WaitReason(enum.Enum):
+    """What a queued job waits for."""
+
+    QUOTA = "quota"
+    CAPACITY = "capacity"
+
+
+@dataclasses.dataclass(frozen=True)
+class _Waiting:
+    """A job that could not be placed, and when it is looked at again."""
+
+    reason: WaitReason
+    until: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Reservation:
+    """A worker on which room is being made for an urgent job."""
+
+    worker: str
+    until: float
+
+
+@dataclasses.dataclass
+class _Planned:
+    """What one tick's decisions have put on a worker so far."""
+
+    needs: commands.Resources = commands.Resources()
+    tasks: tuple[placement.Task, ...] = ()
+
+    def add(self, spec: commands.JobSpec) -> None:
+        """Adds a job, so that the tick's next decision reckons with it."""
+        task = placement.Task(spec.job, spec.task_class, spec.kind)
+        self.needs = self.needs.plus(spec.needs)
+        self.tasks = (*self.tasks, task)
+
+
+class Scheduler:
+    """Plans placements; volatile, so a new leader starts with a new one."""
+
+    def __init__(
+        self,
+        estimator: interference.Estimator,
+        steps: pressure.Pressure,
+        rng: random.Random,
+    ) -> None:
+        self._estimator = estimator
+        self._pressure = steps
+        self._rng = rng
+        self._reservation_by_job: dict[str, _Reservation] = {}
+        self._waiting_by_job: dict[str, _Waiting] = {}
+        self._forget_due = 0.0
+
+    def reset(self) -> None:
+        """Forgets what was planned under an earlier term."""
+        self._reservation_by_job = {}
+        self._waiting_by_job = {}
+
+    def wait_reason(self, job: str) -> WaitReason | None:
+        """Returns what a queued job waits for, if it is known."""
+        waiting = self._waiting_by_job.get(job)
+        return waiting.reason if waiting else None
+
+    def plan(
+        self,
+        now: float,
+        wall_ms: int,
+        state: state_lib.State,
+        workers: list[str],
+    ) -> list[commands.AnyCommand]:
+        """Returns grants for queued jobs, and stops that make room for them.
+
+        Args:
+            now: Monotonic time in seconds.
+            wall_ms: Wall clock for the record.
+            state: The replicated state, with all earlier plans applied.
+            workers: Workers that are alive and not leaving.
+        """
+        self._forget_old(now, state)
+        queued = self._in_order(now, state)
+        proposals: list[commands.AnyCommand] = []
+        planned: dict[str, _Planned] = {}
+        held_by_team: dict[str, commands.Resources] = {}
+        weights = _weights(state)
+        for job in queued:
+            team = job.spec.team
+            held = held_by_team.get(team) or state.held_by_team.get(
+                team, commands.Resources()
+            )
+            held = held.plus(job.spec.needs)
+            quota = jobs.quota_of(state, team)
+            if quota is not None and not held.fits_in(quota):
+                self._wait(now, job, WaitReason.QUOTA)
+                continue
+            chosen = placement.choose_worker(
+                job.spec,
+                workers,
+                self._lookup_for(state, job, planned),
+                self._estimator,
+                weights,
+                self._rng,
+            )
+            if chosen is None:
+                self._wait(now, job, WaitReason.CAPACITY)
+                if job.spec.priority is commands.Priority.URGENT:
+                    proposals += self._preempt(
+                        now, wall_ms, state, job, workers
+                    )
+                continue
+            self._waiting_by_job.pop(job.spec.job, None)
+            self._reservation_by_job.pop(job.spec.job, None)
+            held_by_team[team] = held
+            planned.setdefault(chosen.worker, _Planned()).add(job.spec)
+            proposals.append(
+                commands.GrantLease(
+                    job=job.spec.job,
+                    worker=chosen.worker,
+                    incarnation=state.worker_by_id[
+                        chosen.worker
+                    ].announcement.incarnation,
+                    epoch=job.epoch + 1,
+                    at_ms=wall_ms,
+                )
+            )
+        return proposals
+
+    def _lookup_for(
+        self,
+        state: state_lib.State,
+        job: state_lib.Job,
+        planned: dict[str, _Planned],
+    ) -> placement.Lookup:
+        is_urgent = job.spec.priority is commands.Priority.URGENT
+        reserved = self._reserved_workers()
+        nothing = _Planned()
+
+        def lookup(worker_id: str) -> placement.Candidate | None:
+            worker = state.worker_by_id.get(worker_id)
+            if worker is None or worker.on_probation:
+                return None
+            if worker_id in job.failed_on and len(state.worker_by_id) > 1:
+                return None
+            if jobs.is_draining(state, worker_id):
+                return None
+            if worker_id in reserved and not is_urgent:
+                return None
+            added = planned.get(worker_id, nothing)
+            free = jobs.free_capacity(worker).minus(added.needs)
+            step = self._pressure.step_of(worker_id)
+            return placement.Candidate(
+                worker=worker_id,
+                capacity=worker.announcement.capacity,
+                free=free,
+                tasks=_tasks_of(state, worker) + added.tasks,
+                closed_to_batch=step >= pressure.Step.CLOSED,
+            )
+
+        return lookup
+
+    def _reserved_workers(self) -> set[str]:
+        return {item.worker for item in self._reservation_by_job.values()}
+
+    def _preempt(
+        self,
+        now: float,
+        wall_ms: int,
+        state: state_lib.State,
+        job: state_lib.Job,
+        workers: list[str],
+    ) -> list[commands.AnyCommand]:
+        """Asks lower-priority tasks on one worker to make room."""
+        if not workers or job.spec.job in self._reservation_by_job:
+            return []
+        reserved = self._reserved_workers()
+        start = self._rng.randrange(len(workers))
+        best: tuple[str, list[placement.Victim]] | None = None
+        for offset in range(min(len(workers), placement.SCAN_SIZE)):
+            worker_id = workers[(start + offset) % len(workers)]
+            worker = state.worker_by_id.get(worker_id)
+            if worker is None or worker_id in reserved:
+                continue
+            if worker.on_probation or jobs.is_draining(state, worker_id):
+                continue
+            victims = placement.choose_victims(
+                job.spec.needs,
+                jobs.free_capacity(worker),
+                _victims_on(state, worker),
+                job.spec.priority,
+            )
+            if victims and (best is None or len(victims) < len(best[1])):
+                best = (worker_id, victims)
+        if best is None:
+            return []
+        worker_id, victims = best
+        self._reservation_by_job[job.spec.job] = _Reservation(
+            worker_id, now + RESERVATION_S
+        )
+        return [
+            commands.RequestStop(
+                victim.job,
+                state.job_by_id[victim.job].epoch,
+                commands.StopReason.EVICT,
+                wall_ms,
+            )
+            for victim in victims
+        ]
+
+    def _wait(self, now: float, job: state_lib.Job, reason: WaitReason) -> None:
+        self._waiting_by_job[job.spec.job] = _Waiting(
+            reason, now + RETRY_WAITING_S
+        )
+
+    def _forget_old(self, now: float, state: state_lib.State) -> None:
+        if now < self._forget_due:
+            return
+        self._forget_due = now + FORGET_INTERVAL_S
+        self._reservation_by_job = {
+            job: item
+            for job, item in self._reservation_by_job.items()
+            if item.until > now
+        }
+        self._waiting_by_job = {
+            job_id: item
+            for job_id, item in self._waiting_by_job.items()
+            if _is_queued(state, job_id)
+        }
+
+    def _in_order(
+        self, now: float, state: state_lib.State
+    ) -> list[state_lib.Job]:
+        """Returns queued jobs: higher priorities first, teams in turn.
+
+        Within a priority, jobs that have not been tried yet go first, then
+        those that could not be placed, the longest untried first, so that
+        these hold up nobody.
+        """
+        chosen: list[str] = []
+        for priority in sorted(state.queue_by_priority, reverse=True):
+            untried: list[str] = []
+            due: list[tuple[float, str]] = []
+            for job_id in _queue_order(state.queue_by_priority[priority]):
+                waiting = self._waiting_by_job.get(job_id)
+                if waiting is None:
+                    untried.append(job_id)
+                elif waiting.until <= now:
+                    due.append((waiting.until, job_id))
+            chosen += untried
+            chosen += [job_id for _, job_id in sorted(due)]
+        return [
+            state.job_by_id[job_id] for job_id in chosen[:MAX_GRANTS_PER_TICK]
+        ]
+
+
+def _is_queued(state: state_lib.State, job_id: str) -> bool:
+    job = state.job_by_id.get(job_id)
+    return job is not None and job.phase is state_lib.JobPhase.QUEUED
+
+
+def _queue_order(by_team: dict[str, dict[str, None]]) -> Iterator[str]:
+    """Yields the first jobs of a priority's queues, teams in turn."""
+    iterators = [iter(queued) for queued in by_team.values()]
+    looked_at = 0
+    while iterators and looked_at < MAX_LOOKED_AT_PER_TICK:
+        remaining = []
+        for iterator in iterators:
+            job_id = next(iterator, None)
+            if job_id is not None:
+                yield job_id
+                looked_at += 1
+                remaining.append(iterator)
+        iterators = remaining
+
+
+def _tasks_of(
+    state: state_lib.State, worker: state_lib.Worker
+) -> tuple[placement.Task, ...]:
+    tasks = []
+    for job_id in worker.jobs:
+        spec = state.job_by_id[job_id].spec
+        tasks.append(placement.Task(job_id, spec.task_class, spec.kind))
+    return tuple(tasks)
+
+
+def _victims_on(
+    state: state_lib.State, worker: state_lib.Worker
+) -> list[placement.Victim]:
+    held = [state.job_by_id[job] for job in worker.jobs]
+    return [
+        placement.Victim(job.spec.job, job.spec.needs, job.spec.priority)
+        for job in held
+        if job.phase is state_lib.JobPhase.LEASED and jobs.can_evict(job)
+    ]
+
+
+def _weights(state: state_lib.State) -> commands.PlacementPolicy:
+    known = state.config_by_name.get("placement_policy/default")
+    if known is None or not isinstance(known.item, commands.PlacementPolicy):
+        return commands.PlacementPolicy()
+    return known.item
