--- a/bench/cost_bench.py
+++ b/bench/cost_bench.py
@@ -9,6 +9,7 @@
 from bench import report
 from fulmarrouter import commands
 from fulmarrouter import consensus
+from fulmarrouter import ids
 from fulmarrouter import leader
 from fulmarrouter import machine
 from fulmarrouter import messages
@@ -177,7 +178,7 @@
             )
             for item in range(endpoints)
         )
-        router.open_session(1)
+        router.open_session(ids.SessionId(1))
         router.apply_view(0.0, requests.EntryView(3000, "v", True, 1, views))
 
         def route(router: routing.Router = router) -> None:
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -11,6 +11,7 @@
 from fulmarrouter import budgets
 from fulmarrouter import codes
 from fulmarrouter import commands
+from fulmarrouter import ids
 from fulmarrouter import leader
 from fulmarrouter import machine
 from fulmarrouter import requests
@@ -397,7 +398,7 @@
         for number in range(endpoints)
     )
     policy = commands.ServicePolicy(name="booking", queue_limit=queue_limit)
-    router.open_session(1)
+    router.open_session(ids.SessionId(1))
     router.apply_view(
         0.0, requests.EntryView(3000, "v", True, 1, views, (policy,), ())
     )
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -15,6 +15,7 @@
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import consensus
+from fulmarrouter import ids
 from fulmarrouter import keeper as keeper_lib
 from fulmarrouter import leader
 from fulmarrouter import messages
@@ -206,7 +207,9 @@
             leaders if leaders and self.rng.random() < 0.9 else list(self.nodes)
         )
         target = target or self.rng.choice(names)
-        client = keeper_lib.Client(0, next(self._numbers))
+        client = keeper_lib.Client(
+            ids.ConnectionId(0), ids.CallId(next(self._numbers))
+        )
         payload = requests.encode_request(request)
 
         def arrive() -> None:
@@ -594,7 +597,7 @@
             if number != self._heartbeat_number or self.cut_off:
                 return
             if isinstance(reply, requests.Proposed):
-                self.router.open_session(reply.result.index)
+                self.router.open_session(ids.SessionId(reply.result.index))
             elif isinstance(reply, requests.EntryView):
                 self.router.apply_view(sent_at, reply)
                 self.versions.append(self.router.config_version)
@@ -602,7 +605,7 @@
                 isinstance(reply, requests.Refused)
                 and reply.code is codes.Code.SESSION_ENDED
             ):
-                self.router.open_session(0)
+                self.router.open_session(ids.SessionId(0))
 
         self.cluster.call(self.name, request, on_reply)
 
--- a/fulmarrouter/entry_web.py
+++ b/fulmarrouter/entry_web.py
@@ -9,6 +9,7 @@
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import errors
+from fulmarrouter import ids
 from fulmarrouter import leader_client
 from fulmarrouter import metrics
 from fulmarrouter import proxy as proxy_lib
@@ -142,7 +143,7 @@
         if key:
             _check_name("key", key)
         return proxy_lib.CallerRequest(
-            service=service,
+            service=ids.ServiceName(service),
             method=request.method,
             target=target,
             headers=tuple(
@@ -153,7 +154,7 @@
             ),
             body=request.body,
             caller=request.headers.get("fulmar-caller", request.remote),
-            key=key,
+            key=ids.RequestKey(key),
             key_is_new=key_is_new,
             deadline_ms=_read_int(
                 request.headers, "fulmar-deadline-ms", 0, 600_000
--- a/fulmarrouter/ids.py
+++ b/fulmarrouter/ids.py
@@ -1,23 +1,9 @@
-"""Identifier types used in messages, state and settings."""
+"""Identifier types that must not be mixed up where several are at hand."""
 
 from typing import NewType
 
-KeeperId = NewType("KeeperId", str)
-EntryId = NewType("EntryId", str)
-WorkerId = NewType("WorkerId", str)
-EndpointId = NewType("EndpointId", str)
-JobId = NewType("JobId", str)
-TeamId = NewType("TeamId", str)
-ServiceName = NewType("ServiceName", str)
+CallId = NewType("CallId", int)
+ConnectionId = NewType("ConnectionId", int)
 RequestKey = NewType("RequestKey", str)
-Nonce = NewType("Nonce", str)
-DomainName = NewType("DomainName", str)
-RackName = NewType("RackName", str)
-
-Term = NewType("Term", int)
-LogIndex = NewType("LogIndex", int)
-Epoch = NewType("Epoch", int)
-Incarnation = NewType("Incarnation", int)
+ServiceName = NewType("ServiceName", str)
 SessionId = NewType("SessionId", int)
-TicketNumber = NewType("TicketNumber", int)
-CheckpointSeq = NewType("CheckpointSeq", int)
--- a/fulmarrouter/keeper.py
+++ b/fulmarrouter/keeper.py
@@ -10,6 +10,7 @@
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import consensus
+from fulmarrouter import ids
 from fulmarrouter import leader as leader_lib
 from fulmarrouter import machine
 from fulmarrouter import messages
@@ -38,8 +39,8 @@
 class Client:
     """Where a reply goes: a connection, and the request's number on it."""
 
-    connection: int
-    request: int
+    connection: ids.ConnectionId
+    request: ids.CallId
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fulmarrouter/leader_client.py
+++ b/fulmarrouter/leader_client.py
@@ -12,6 +12,7 @@
 
 from fulmarrouter import codes
 from fulmarrouter import commands
+from fulmarrouter import ids
 from fulmarrouter import metrics
 from fulmarrouter import network
 from fulmarrouter import requests
@@ -69,8 +70,8 @@
         self._leader = self._addresses[0]
         self._metrics = registry
         self._network: network.Network | None = None
-        self._pending_by_id: dict[int, _Pending] = {}
-        self._next_id = 1
+        self._pending_by_id: dict[ids.CallId, _Pending] = {}
+        self._next_id = ids.CallId(1)
 
     def attach(self, owner: network.Network) -> None:
         """Gives the task the network that carries its messages."""
@@ -101,7 +102,7 @@
                 pending = _Pending(message, payload)
                 self._pending_by_id[self._next_id] = pending
                 self._send(self._next_id, pending)
-                self._next_id += 1
+                self._next_id = ids.CallId(self._next_id + 1)
             case KeepersChanged():
                 self._addresses = [
                     f"{item.host}:{item.port}" for item in message.keepers
@@ -130,7 +131,7 @@
         for number, pending in list(self._pending_by_id.items()):
             self._give_up(number, pending)
 
-    def _send(self, number: int, pending: _Pending) -> None:
+    def _send(self, number: ids.CallId, pending: _Pending) -> None:
         pending.send_at = 0.0
         pending.expires_at = time.monotonic() + ATTEMPT_TIMEOUT_S
         pending.attempts += 1
@@ -189,7 +190,7 @@
             pending.expires_at = 0.0
             pending.send_at = time.monotonic() + RESEND_DELAY_S
 
-    def _give_up(self, number: int, pending: _Pending) -> None:
+    def _give_up(self, number: ids.CallId, pending: _Pending) -> None:
         del self._pending_by_id[number]
         is_proposal = isinstance(pending.ask.request, requests.Propose)
         code = codes.Code.KEEPER_UNAVAILABLE
--- a/fulmarrouter/network.py
+++ b/fulmarrouter/network.py
@@ -14,6 +14,7 @@
 import time
 
 from fulmarrouter import errors
+from fulmarrouter import ids
 from fulmarrouter import tasks
 from fulmarrouter import wire
 
@@ -39,7 +40,7 @@
 class SendOn:
     """Sends on an open connection; dropped if it has been closed."""
 
-    connection: int
+    connection: ids.ConnectionId
     body: wire.Body
 
 
@@ -47,7 +48,7 @@
 class Received:
     """A frame that has arrived."""
 
-    connection: int
+    connection: ids.ConnectionId
     envelope: wire.Envelope
 
 
@@ -55,7 +56,7 @@
 class Closed:
     """A connection has ended."""
 
-    connection: int
+    connection: ids.ConnectionId
     address: str
 
 
@@ -64,7 +65,7 @@
 
 @dataclasses.dataclass
 class _Connection:
-    number: int
+    number: ids.ConnectionId
     socket: socket.socket
     address: str
     connecting: bool
@@ -106,8 +107,8 @@
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
         self._wake_writer.setblocking(False)
-        self._connection_by_number: dict[int, _Connection] = {}
-        self._number_by_address: dict[str, int] = {}
+        self._connection_by_number: dict[ids.ConnectionId, _Connection] = {}
+        self._number_by_address: dict[str, ids.ConnectionId] = {}
         self._backoff_by_address: dict[str, _Backoff] = {}
         self._next_number = 1
         self._clock_due = 0.0
@@ -219,7 +220,13 @@
         new_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         now = time.monotonic()
         connection = _Connection(
-            self._next_number, new_socket, address, connecting, now, now, now
+            ids.ConnectionId(self._next_number),
+            new_socket,
+            address,
+            connecting,
+            now,
+            now,
+            now,
         )
         self._next_number += 1
         self._connection_by_number[connection.number] = connection
--- a/fulmarrouter/proxy.py
+++ b/fulmarrouter/proxy.py
@@ -12,6 +12,7 @@
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import errors
+from fulmarrouter import ids
 from fulmarrouter import leader_client
 from fulmarrouter import metrics
 from fulmarrouter import requests
@@ -54,13 +55,13 @@
         arrived_at: Monotonic time of arrival.
     """
 
-    service: str
+    service: ids.ServiceName
     method: str
     target: str
     headers: tuple[commands.Header, ...]
     body: bytes
     caller: str
-    key: str
+    key: ids.RequestKey
     key_is_new: bool
     deadline_ms: int
     arrived_at: float
@@ -248,7 +249,7 @@
 
     def _settle(
         self,
-        key: str,
+        key: ids.RequestKey,
         nonce: str,
         state: commands.RunState,
         answer: commands.Answer | None,
--- a/fulmarrouter/router_task.py
+++ b/fulmarrouter/router_task.py
@@ -8,6 +8,7 @@
 
 from fulmarrouter import codes
 from fulmarrouter import commands
+from fulmarrouter import ids
 from fulmarrouter import leader_client
 from fulmarrouter import metrics
 from fulmarrouter import requests
@@ -118,7 +119,7 @@
         return self._router.policy_of(service)
 
     @property
-    def session(self) -> int:
+    def session(self) -> ids.SessionId:
         """The session under which this entry acts; 0 before it has one."""
         return self._router.session
 
@@ -267,7 +268,7 @@
         self._asking = False
         match message.reply:
             case requests.Proposed(result) if message.opens_session:
-                self._router.open_session(result.index)
+                self._router.open_session(ids.SessionId(result.index))
                 self._heartbeat_due = 0.0
                 self.log.info("session opened", session=result.index)
             case requests.EntryView() as view:
@@ -286,7 +287,7 @@
             case requests.Refused(code) if code is codes.Code.SESSION_ENDED:
                 self.log.warning("session ended", session=self._router.session)
                 self._nonce = secrets.token_hex(16)
-                self._router.open_session(0)
+                self._router.open_session(ids.SessionId(0))
             case requests.Refused(code):
                 self._metrics.count("heartbeats_refused", reason=code.name)
 
--- a/fulmarrouter/routing.py
+++ b/fulmarrouter/routing.py
@@ -14,6 +14,7 @@
 from fulmarrouter import choosing
 from fulmarrouter import codes
 from fulmarrouter import commands
+from fulmarrouter import ids
 from fulmarrouter import requests
 
 LATENCY_SMOOTHING = 0.1
@@ -114,7 +115,7 @@
         rng: random.Random,
         chooser: choosing.Chooser = choosing.choose_least_cost,
     ) -> None:
-        self.session = 0
+        self.session = ids.SessionId(0)
         self.config_version = 0
         self.draining = False
         self.view = ""
@@ -207,7 +208,7 @@
 
     # Session and configuration.
 
-    def open_session(self, session: int) -> None:
+    def open_session(self, session: ids.SessionId) -> None:
         """Starts a new session; nothing is held until its first view."""
         self.session = session
         self.view = ""
--- a/fulmarrouter/wire.py
+++ b/fulmarrouter/wire.py
@@ -11,6 +11,7 @@
 
 from fulmarrouter import commands
 from fulmarrouter import errors
+from fulmarrouter import ids
 from fulmarrouter import messages
 
 PROTOCOL_VERSION = 1
@@ -28,14 +29,14 @@
 class Call(msgspec.Struct, frozen=True):
     """A request on a connection; the payload is an encoded request."""
 
-    id: int
+    id: ids.CallId
     payload: bytes
 
 
 class CallReply(msgspec.Struct, frozen=True):
     """The reply to the call with the same number on the same connection."""
 
-    id: int
+    id: ids.CallId
     payload: bytes
 
 
