Ask for checkpoints before evictions; prove the steps under pressure

The worker interface lacked an order to write a checkpoint and go on. It is given with the throttling step, so that an eviction that follows loses little.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -86,6 +86,19 @@
     And room for the small one is made
     Then the small job is granted
 
+  Scenario Outline: Steps on a worker whose services suffer
+    Given a worker with a service and 3 checkpointing batch jobs
+    When the service reports <inflation> times its baseline for <seconds> seconds
+    Then <throttled> jobs are throttled, <checkpointed> asked for a checkpoint and <stopped> to stop
+
+    Examples:
+      | inflation | seconds | throttled | checkpointed | stopped |
+      | 1.1       | 20      | 0         | 0            | 0       |
+      | 1.3       | 20      | 0         | 0            | 0       |
+      | 1.45      | 20      | 3         | 3            | 0       |
+      | 3.0       | 12      | 2         | 2            | 1       |
+      | 3.0       | 16      | 1         | 1            | 2       |
+
   Scenario: Slots are divided among entries without remainder
     When 200 random demands are divided
     Then no slot is left over or given twice
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -341,6 +341,52 @@
     assert phase is state_lib.JobPhase.LEASED, phase
 
 
+@behave.given("a worker with a service and {count:d} checkpointing batch jobs")
+def suffering_worker(context: Any, count: int) -> None:
+    log = Log()
+    log.apply(_worker("w0", 64_000))
+    specs = [_spec("service", kind=commands.JobKind.SERVICE)]
+    specs += [_spec(f"j{item}", checkpoints=True) for item in range(count)]
+    for spec in specs:
+        log.apply(commands.SubmitJob(spec, 0))
+        log.apply(commands.GrantLease(spec.job, "w0", 1, 1, 0))
+        started = commands.TaskEvent.STARTED
+        log.apply(commands.ReportTask(spec.job, 1, "w0", started, 0, 0, 0))
+    context.machine = log
+    context.leader = leader.Leader(leader.LeaseSettings(), random.Random(7))
+    context.leader.take_office(0.0, log.state)
+
+
+@behave.when(
+    "the service reports {inflation:g} times its baseline for {seconds:d} seconds"
+)
+def report_inflation(context: Any, inflation: float, seconds: int) -> None:
+    log = context.machine
+    # One measurement teaches the baseline, then the inflated ones follow.
+    for second in range(seconds + 1):
+        tail_ms = 10.0 if second == 0 else 10.0 * inflation
+        usage = requests.UsageReport("service", 1, tail_ms=tail_ms)
+        capacity = commands.Resources(64_000, 64_000, 0)
+        request = requests.WorkerHeartbeat("w0", 1, capacity, usage=(usage,))
+        now = float(second)
+        context.leader.on_worker_heartbeat(now, 0, log.state, request)
+        for command in context.leader.tick(now, 0, log.state):
+            log.apply(command)
+    context.orders = context.leader.worker_orders(log.state, request)
+
+
+@behave.then(
+    "{throttled:d} jobs are throttled, {checkpointed:d} asked for a checkpoint and"
+    " {stopped:d} to stop"
+)
+def steps_taken(
+    context: Any, throttled: int, checkpointed: int, stopped: int
+) -> None:
+    orders = context.orders
+    seen = (len(orders.throttle), len(orders.checkpoint), len(orders.stop))
+    assert seen == (throttled, checkpointed, stopped), seen
+
+
 @behave.when("{examples:d} random demands are divided")
 def divide(context: Any, examples: int) -> None:
     context.examples = examples
--- a/fulmarrouter/leader.py
+++ b/fulmarrouter/leader.py
@@ -187,6 +187,7 @@
         starts: list[requests.StartOrder] = []
         stops: list[requests.StopOrder] = []
         throttles: list[requests.ThrottleOrder] = []
+        checkpoints: list[requests.LeaseView] = []
         step = self.pressure.step_of(request.worker)
         for job_id, epoch in worker.jobs.items():
             job = state.job_by_id[job_id]
@@ -197,12 +198,13 @@
             if not job.started:
                 starts.append(_start_order(job))
             is_batch = job.spec.kind is commands.JobKind.BATCH
-            if is_batch and step >= pressure.Step.THROTTLED:
-                throttles.append(
-                    requests.ThrottleOrder(
-                        job_id, epoch, pressure.THROTTLE_PERCENT
-                    )
-                )
+            if not is_batch or step < pressure.Step.THROTTLED:
+                continue
+            throttles.append(
+                requests.ThrottleOrder(job_id, epoch, pressure.THROTTLE_PERCENT)
+            )
+            if job.spec.checkpoints and job.started:
+                checkpoints.append(requests.LeaseView(job_id, epoch))
         return requests.WorkerOrders(
             lease_ms,
             heartbeat_ms,
@@ -210,6 +212,7 @@
             tuple(starts),
             tuple(stops),
             tuple(throttles),
+            tuple(checkpoints),
         )
 
     def _count_result(
--- a/fulmarrouter/requests.py
+++ b/fulmarrouter/requests.py
@@ -244,7 +244,12 @@
 
 
 class WorkerOrders(Reply, frozen=True):
-    """Renews a worker's leases and carries its commands."""
+    """Renews a worker's leases and carries its commands.
+
+    Attributes:
+        checkpoint: Tasks that are to write a checkpoint and go on, since they
+            may be evicted soon.
+    """
 
     lease_ms: int
     heartbeat_ms: int
@@ -252,6 +257,7 @@
     start: tuple[StartOrder, ...] = ()
     stop: tuple[StopOrder, ...] = ()
     throttle: tuple[ThrottleOrder, ...] = ()
+    checkpoint: tuple[LeaseView, ...] = ()
 
 
 class EndpointAccepted(Reply, frozen=True):
