--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -284,7 +284,9 @@
     del context
     paths = sorted(EXAMPLES.rglob("*.yaml"))
     loaded = [
-        settings_lib.load(path) for path in paths if path.parent.name != "requests"
+        settings_lib.load(path)
+        for path in paths
+        if path.parent.name != "requests"
     ]
     assert len(loaded) >= 25, len(loaded)
 
