--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,10 @@
 soak: $(VENV)/ready
 	$(BIN)/python -m features.support.histories $(FIRST) $(LAST)
 
+# Spin and gcc come from apt where they are missing.
 model:
+	@command -v spin >/dev/null && command -v gcc >/dev/null || \
+		(apt-get update -q && apt-get install -y -q spin gcc libc6-dev)
 	sh model/check.sh
 
 binary: $(VENV)/ready
