Drop the router's unused lease length and an unused worker field

The router takes its lease from each view, so the length given to it was never read; nor was the inflation kept for each worker. No behaviour changes.

--- a/bench/cost_bench.py
+++ b/bench/cost_bench.py
@@ -171,7 +171,7 @@
 
 def _routing() -> None:
     for endpoints in (24, 100, 1000):
-        router = routing.Router(3.0, random.Random(3))
+        router = routing.Router(random.Random(3))
         views = tuple(
             requests.EndpointView(
                 f"p{item}", 1, "s", "127.0.0.1", 1, "", True, 8, 64, 1, 8
--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -355,7 +355,7 @@
         self.wave = wave
         self.rate = load * ENDPOINTS * SLOTS / MEAN_S
         self.router = routing.Router(
-            1e9, random.Random(seed), choosing.CHOOSER_BY_NAME[chooser]
+            random.Random(seed), choosing.CHOOSER_BY_NAME[chooser]
         )
         views = tuple(
             requests.EndpointView(
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -426,7 +426,7 @@
 
 
 def _router(endpoints: int, slots: int, queue_limit: int) -> routing.Router:
-    router = routing.Router(3.0, random.Random(3))
+    router = routing.Router(random.Random(3))
     views = tuple(
         requests.EndpointView(
             f"p{number}",
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -532,7 +532,7 @@
         self.rate = cluster.rng.uniform(0.992, 1.008)
         self.offset = cluster.rng.uniform(0, 1000)
         self.cut_off = False
-        self.router = routing.Router(LEASES.entry_lease, random.Random(1))
+        self.router = routing.Router(random.Random(1))
         self.open_requests: list[OpenRequest] = []
         self.run_count_by_key: dict[str, int] = {}
         self.said_not_run: set[str] = set()
@@ -549,7 +549,7 @@
 
     def crash(self) -> None:
         """Restarts the process; requests at endpoints go on until they end."""
-        self.router = routing.Router(LEASES.entry_lease, random.Random(1))
+        self.router = routing.Router(random.Random(1))
         self._heartbeat_number += 1
 
     def step(self) -> None:
--- a/fulmarrouter/leader.py
+++ b/fulmarrouter/leader.py
@@ -77,7 +77,6 @@
     history: interference.History = dataclasses.field(
         default_factory=interference.History
     )
-    inflation: float = 0.0
 
 
 class Leader:
--- a/fulmarrouter/processes.py
+++ b/fulmarrouter/processes.py
@@ -134,9 +134,7 @@
         )
         self._network = network.Network(settings.name, None, self._client.post)
         self._client.attach(self._network)
-        core = routing.Router(
-            settings.leases.entry_lease_ms / 1000, random.Random()
-        )
+        core = routing.Router(random.Random())
         self._router = router_task.RouterTask(
             settings, core, self._client, self.registry
         )
--- a/fulmarrouter/routing.py
+++ b/fulmarrouter/routing.py
@@ -111,7 +111,6 @@
 
     def __init__(
         self,
-        entry_lease: float,
         rng: random.Random,
         chooser: choosing.Chooser = choosing.choose_least_cost,
     ) -> None:
@@ -120,7 +119,6 @@
         self.draining = False
         self.view = ""
         self.lease_until = float("-inf")
-        self._entry_lease = entry_lease
         self._rng = rng
         self._chooser = chooser
         self._endpoint_by_id: dict[str, _Endpoint] = {}
