--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -414,7 +414,7 @@
             free_millicores=free.millicores,
             free_memory_mb=free.memory_mb,
             free_accelerators=free.accelerators,
-            idle_millicores=free.millicores - view.filling_millicores,
+            idle_millicores=view.idle_millicores,
             serving=view.serving_tasks,
             filling=view.filling_tasks,
             fill_pace=view.fill_pace,
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -16,6 +16,10 @@
 # report several times as often.
 FRESH_S = 1.2
 
+# Share of its processors that a serving task uses on average; what it leaves
+# goes to filling tasks.
+SERVING_LOAD = 0.5
+
 NOTHING = commands.Resources()
 
 
@@ -49,6 +53,7 @@
     filling_millicores: int = 0
     filling_tasks: int = 0
     serving_tasks: int = 0
+    idle_millicores: int = 0
     is_stale: bool = True
     refused_until: float = 0.0
     fill_pace: int = 100
@@ -89,6 +94,7 @@
         filling = 0
         filling_tasks = 0
         serving_tasks = 0
+        idle_serving = 0
         for task, run in state.runs_by_worker.get(view.key, {}).items():
             if view.ended.get(task) == run:
                 continue
@@ -100,6 +106,10 @@
             memory_mb += spec.needs.memory_mb
             accelerators += spec.needs.accelerators
             serving_tasks += spec.tail_target_ms > 0
+            if spec.tail_target_ms:
+                idle_serving += int(
+                    spec.needs.millicores * (1 - SERVING_LOAD)
+                )
             if spec.fills:
                 filling += spec.needs.millicores
                 filling_tasks += 1
@@ -109,6 +119,12 @@
         view.filling_millicores = filling
         view.filling_tasks = filling_tasks
         view.serving_tasks = serving_tasks
+        view.idle_millicores = (
+            view.report.capacity.millicores
+            - millicores
+            + idle_serving
+            - filling
+        )
         view.is_stale = False
 
     def mark_touched(self, state: state_lib.State) -> None:
