Learn disturbance by pair of images and place by it

Cause: filling tasks were held back wherever serving tasks had claimed the processors, and paused for any tail above target, so most of them were late. The reported tails show that headroom (target over tail) is lost in proportion to the neighbour's processor share, with a factor for each pair of images, and that tasks of one job share their load.

--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -11,7 +11,7 @@
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
-from fulmarrouter.cluster import pacing
+from fulmarrouter.cluster import neighbours
 from fulmarrouter.cluster import placement
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
@@ -49,6 +49,7 @@
     def __init__(self, settings: DispatchSettings) -> None:
         self._settings = settings
         self.fleet = fleet_lib.Fleet()
+        self.neighbours = neighbours.Neighbours()
         self._office_since = 0.0
         self._reserved: dict[model.TaskId, log_commands.Assignment] = {}
         self._expiry_due = 0.0
@@ -57,6 +58,7 @@
     def take_office(self, now: float, state: state_lib.State) -> None:
         """Forgets what an earlier term of office knew."""
         self.fleet = fleet_lib.Fleet()
+        self.neighbours = neighbours.Neighbours()
         self._office_since = now
         self._reserved = {}
         full = self._lease_end(now)
@@ -91,6 +93,8 @@
         proposed: list[log_commands.AnyCommand] = []
         if known is None or known.key != key:
             proposed += self._ends_of_earlier_lives(state, key)
+            if known is not None:
+                self.neighbours.forget_worker(known.key)
             until = self._inherited_until.pop(key, 0.0)
             view = fleet_lib.WorkerView(key, report, now, until)
             self.fleet.view_by_id[report.worker] = view
@@ -103,7 +107,7 @@
         if ends:
             proposed.append(log_commands.EndRuns(tuple(ends)))
         view.is_stale = True
-        self._update_pace(now, state, view)
+        self.neighbours.on_report(now, state, view)
         return proposed
 
     def _ends_of_earlier_lives(
@@ -220,23 +224,6 @@
         self.fleet.view_by_id.pop(request.worker, None)
         return found
 
-    def _update_pace(
-        self, now: float, state: state_lib.State, view: fleet_lib.WorkerView
-    ) -> None:
-        worst = 0.0
-        for item in view.running.values():
-            found = state.find_task(item.task)
-            if found is None or item.usage < 0:
-                continue
-            job, key, _, _ = found
-            target = job.spec.steps[key.step].tail_target_ms
-            if target:
-                worst = max(worst, item.usage / target)
-        pace = pacing.next_pace(view.fill_pace, worst, now - view.paced_at)
-        if pace != view.fill_pace:
-            view.fill_pace = pace
-            view.paced_at = now
-
     # Time.
 
     def expire(
@@ -251,6 +238,7 @@
             if now >= until:
                 del self._inherited_until[key]
                 found += self._lost_runs(state, key)
+        self.neighbours.forget_jobs(state)
         for key in list(state.runs_by_worker):
             # Committed after its worker was given up; nobody was told of it.
             known = self.fleet.view_by_id.get(key.worker)
@@ -261,6 +249,7 @@
             is_silent = now - view.heard_at > fleet_lib.FRESH_S
             if is_silent and now >= view.lease_until:
                 found += self._lost_runs(state, view.key)
+                self.neighbours.forget_worker(view.key)
                 del self.fleet.view_by_id[worker]
         return found
 
@@ -295,7 +284,9 @@
             demand = self._demand(key, spec, step)
             if not demand.indices:
                 continue
-            chosen = placement.place_step(slots, demand)
+            chosen = placement.place_step(
+                slots, demand, self.neighbours.effects
+            )
             is_plain = not (
                 spec.gang
                 or spec.colocate
@@ -393,7 +384,7 @@
                 continue
             if view.is_stale:
                 self.fleet.refresh_used(state, view)
-            slot = self._slot(view)
+            slot = self._slot(now, state, view)
             for task in reserved_by_worker.get(view.key.worker, ()):
                 found = state.find_task(task)
                 if found is not None:
@@ -402,7 +393,9 @@
             slots.append(slot)
         return slots
 
-    def _slot(self, view: fleet_lib.WorkerView) -> placement.Slot:
+    def _slot(
+        self, now: float, state: state_lib.State, view: fleet_lib.WorkerView
+    ) -> placement.Slot:
         free = view.free()
         runs = len(view.running)
         return placement.Slot(
@@ -415,9 +408,10 @@
             free_memory_mb=free.memory_mb,
             free_accelerators=free.accelerators,
             idle_millicores=view.idle_millicores,
-            serving=view.serving_tasks,
-            filling=view.filling_tasks,
-            fill_pace=view.fill_pace,
+            alone_by_image=self.neighbours.alone_by_image(now, state, view),
+            share_by_image=dict(view.share_by_image),
+            serving_by_image=dict(view.serving_by_image),
+            is_open_to_filling=not self.neighbours.has_paused(view.key),
             max_new=max(0, 1 - runs) if view.record.on_trial else 1 << 30,
         )
 
@@ -453,12 +447,10 @@
             if view.runs(task_id, run):
                 if not is_wanted or view.stopping.get(task_id) == run:
                     stops.append(requests.StopOrder(task_id, run))
-                elif spec.fills and view.fill_pace < 100:
-                    paces.append(
-                        requests.PaceOrder(task_id, run, view.fill_pace)
-                    )
-                elif spec.fills and now - view.paced_at < 2.0:
-                    paces.append(requests.PaceOrder(task_id, run, 100))
+                elif spec.fills:
+                    pace = self.neighbours.pace_of(now, view.key, task_id)
+                    if pace is not None:
+                        paces.append(requests.PaceOrder(task_id, run, pace))
                 continue
             if view.ended.get(task_id) == run:
                 continue
--- /dev/null
+++ b/fulmarrouter/cluster/disturbance.py
@@ -0,0 +1,148 @@
+"""Learns how much filling tasks disturb the serving tasks beside them.
+
+Load it answers: dozens of images whose effect on one another is unknown, seen
+only as tail latencies of the last half second, while the load of the serving
+tasks swings by itself.
+
+A serving task's headroom is its target divided by its tail: 1 at the target,
+more below it. For a queue, headroom falls in proportion to the load, and what
+several neighbours take from it adds up. The effect of an image on another is
+the headroom lost for each share of the worker's processors that it uses.
+Tasks of one job have the same load at the same time, so those that nobody
+disturbs show what the others would have alone.
+"""
+
+import dataclasses
+import statistics
+
+from fulmarrouter.cluster import model
+
+# Effect assumed of an unknown pair: that of a mild one.
+PRIOR_EFFECT = 1.5
+# Share of an error that is learned at once, falling with each observation.
+FIRST_RATE = 0.6
+LOWEST_RATE = 0.08
+MAX_EFFECT = 40.0
+# Readings are averages over half a second; older ones say nothing of now.
+READING_TTL_S = 0.9
+# Headroom above this is not told apart: the tail is near its floor.
+MAX_HEADROOM = 20.0
+# Processor share below which a neighbour teaches nothing.
+MIN_SHARE = 0.005
+
+Shares = dict[str, float]
+
+
+@dataclasses.dataclass
+class _Effect:
+    value: float = PRIOR_EFFECT
+    observations: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Reading:
+    """Headroom of one serving task, and what it would have alone."""
+
+    at: float
+    alone: float
+    is_undisturbed: bool
+
+
+def headroom_of(tail_ms: float, target_ms: float) -> float:
+    """Returns the headroom of a serving task."""
+    return min(MAX_HEADROOM, target_ms / max(tail_ms, 0.5))
+
+
+class DisturbanceModel:
+    """Effects by pair of images, and each serving job's headroom now."""
+
+    def __init__(self) -> None:
+        self._effect_by_pair: dict[tuple[str, str], _Effect] = {}
+        self._readings_by_job: dict[
+            model.JobId, dict[model.TaskId, _Reading]
+        ] = {}
+
+    def effect(self, filling: str, serving: str) -> float:
+        """Returns the headroom lost for a whole worker of the filling image."""
+        known = self._effect_by_pair.get((filling, serving))
+        return known.value if known else PRIOR_EFFECT
+
+    def loss(self, serving: str, shares: Shares) -> float:
+        """Returns the headroom that neighbours are expected to take."""
+        return sum(
+            self.effect(image, serving) * share
+            for image, share in shares.items()
+        )
+
+    def note(
+        self,
+        now: float,
+        task: model.TaskId,
+        job: model.JobId,
+        serving: str,
+        headroom: float,
+        shares: Shares,
+    ) -> None:
+        """Learns from one reading of a serving task.
+
+        Args:
+            now: When the reading arrived.
+            task: The serving task.
+            job: Its job.
+            serving: Its image.
+            headroom: Its headroom.
+            shares: Share of the worker used beside it, by image.
+        """
+        disturbing = {
+            image: share for image, share in shares.items() if share > MIN_SHARE
+        }
+        alone = self.alone(now, job, but=task)
+        if disturbing and alone is not None:
+            self._learn(serving, alone - headroom, disturbing)
+        estimate = headroom + self.loss(serving, disturbing)
+        readings = self._readings_by_job.setdefault(job, {})
+        readings[task] = _Reading(now, estimate, not disturbing)
+
+    def alone(
+        self,
+        now: float,
+        job: model.JobId,
+        but: model.TaskId | None = None,
+    ) -> float | None:
+        """Returns the headroom of a job's tasks where nothing fills beside.
+
+        None if no other reading is fresh enough.
+        """
+        readings = self._readings_by_job.get(job)
+        if not readings:
+            return None
+        fresh = [
+            reading
+            for task, reading in readings.items()
+            if task != but and now - reading.at <= READING_TTL_S
+        ]
+        undisturbed = [item.alone for item in fresh if item.is_undisturbed]
+        if undisturbed:
+            return statistics.median(undisturbed)
+        if fresh:
+            return statistics.median(item.alone for item in fresh)
+        return None
+
+    def forget_job(self, job: model.JobId) -> None:
+        """Drops the readings of a job that has ended."""
+        self._readings_by_job.pop(job, None)
+
+    def jobs(self) -> list[model.JobId]:
+        """Returns the jobs with readings."""
+        return list(self._readings_by_job)
+
+    def _learn(self, serving: str, lost: float, shares: Shares) -> None:
+        error = lost - self.loss(serving, shares)
+        power = sum(share * share for share in shares.values())
+        for image, share in shares.items():
+            pair = (image, serving)
+            known = self._effect_by_pair.setdefault(pair, _Effect())
+            rate = max(LOWEST_RATE, FIRST_RATE / (1 + known.observations / 4))
+            known.observations += 1
+            changed = known.value + rate * error * share / power
+            known.value = min(MAX_EFFECT, max(0.0, changed))
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -36,7 +36,8 @@
         running: What it last listed as running.
         used: Room taken by assigned runs, when `is_stale` is false.
         refused_until: It refused a start for want of room a moment ago.
-        fill_pace: Share of their speed that filling tasks may use.
+        share_by_image: Share of the processors that assigned filling tasks
+            ask for.
     """
 
     key: state_lib.WorkerKey
@@ -50,14 +51,11 @@
         default_factory=dict
     )
     used: commands.Resources = NOTHING
-    filling_millicores: int = 0
-    filling_tasks: int = 0
-    serving_tasks: int = 0
+    share_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
+    serving_by_image: dict[str, int] = dataclasses.field(default_factory=dict)
     idle_millicores: int = 0
     is_stale: bool = True
     refused_until: float = 0.0
-    fill_pace: int = 100
-    paced_at: float = 0.0
     record: health.WorkerHealth = dataclasses.field(
         default_factory=health.WorkerHealth
     )
@@ -92,9 +90,10 @@
         memory_mb = 0
         accelerators = 0
         filling = 0
-        filling_tasks = 0
-        serving_tasks = 0
+        shares: dict[str, float] = {}
+        capacity = max(1, view.report.capacity.millicores)
         idle_serving = 0
+        serving: dict[str, int] = {}
         for task, run in state.runs_by_worker.get(view.key, {}).items():
             if view.ended.get(task) == run:
                 continue
@@ -105,20 +104,18 @@
             spec = job.spec.steps[key.step]
             memory_mb += spec.needs.memory_mb
             accelerators += spec.needs.accelerators
-            serving_tasks += spec.tail_target_ms > 0
             if spec.tail_target_ms:
-                idle_serving += int(
-                    spec.needs.millicores * (1 - SERVING_LOAD)
-                )
+                serving[spec.image] = serving.get(spec.image, 0) + 1
+                idle_serving += int(spec.needs.millicores * (1 - SERVING_LOAD))
             if spec.fills:
                 filling += spec.needs.millicores
-                filling_tasks += 1
+                share = spec.needs.millicores / capacity
+                shares[spec.image] = shares.get(spec.image, 0.0) + share
             else:
                 millicores += spec.needs.millicores
         view.used = commands.Resources(millicores, memory_mb, accelerators)
-        view.filling_millicores = filling
-        view.filling_tasks = filling_tasks
-        view.serving_tasks = serving_tasks
+        view.share_by_image = shares
+        view.serving_by_image = serving
         view.idle_millicores = (
             view.report.capacity.millicores
             - millicores
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -5,15 +5,19 @@
 decision grows with the number of workers of the service, not with what waits.
 """
 
-from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 
 from fulmarrouter import commands
+from fulmarrouter.cluster import disturbance
 from fulmarrouter.cluster import model
+from fulmarrouter.cluster import pacing
 
 # Share of its demand that a filling task must find unused on a worker.
 MIN_FILL_SHARE = 0.5
+# Rank of a worker that serves nothing among those that serve one image (1) or
+# others only (0).
+EMPTY_PURITY = 0.5
 
 
 @dataclasses.dataclass
@@ -23,9 +27,10 @@
     Attributes:
         idle_millicores: Processor time that neither ordinary nor filling
             tasks have claimed.
-        serving: Serving tasks on it.
-        filling: Filling tasks on it.
-        fill_pace: Pace of its filling tasks, in percent.
+        alone_by_image: Undisturbed headroom of its serving tasks.
+        share_by_image: Share of its processors that filling tasks ask for.
+        serving_by_image: Number of its serving tasks.
+        is_open_to_filling: Whether more filling tasks may come.
         max_new: Tasks that may still be placed here.
     """
 
@@ -38,9 +43,10 @@
     free_memory_mb: int
     free_accelerators: int
     idle_millicores: int
-    serving: int = 0
-    filling: int = 0
-    fill_pace: int = 100
+    alone_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
+    share_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
+    serving_by_image: dict[str, int] = dataclasses.field(default_factory=dict)
+    is_open_to_filling: bool = True
     max_new: int = 1 << 30
 
     def fits(self, needs: commands.Resources, fills: bool) -> bool:
@@ -51,7 +57,7 @@
             return False
         if fills:
             wanted = needs.millicores * MIN_FILL_SHARE
-            return self.fill_pace == 100 and wanted <= self.idle_millicores
+            return self.is_open_to_filling and wanted <= self.idle_millicores
         return needs.millicores <= self.free_millicores
 
     def take(self, spec: model.StepSpec) -> None:
@@ -61,11 +67,19 @@
         self.free_accelerators -= spec.needs.accelerators
         self.idle_millicores -= spec.needs.millicores
         if spec.fills:
-            self.filling += 1
+            shares = dict(self.share_by_image)
+            shares[spec.image] = shares.get(spec.image, 0.0) + self.share(spec)
+            self.share_by_image = shares
         else:
             self.free_millicores -= spec.needs.millicores
         if spec.tail_target_ms:
-            self.serving += 1
+            counts = dict(self.serving_by_image)
+            counts[spec.image] = counts.get(spec.image, 0) + 1
+            self.serving_by_image = counts
+
+    def share(self, spec: model.StepSpec) -> float:
+        """Returns the part of the processors that a task asks for."""
+        return spec.needs.millicores / max(1, self.capacity_millicores)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,28 +99,49 @@
     rack: str = ""
 
 
-def _ordinary_rank(slot: Slot, spec: model.StepSpec) -> tuple[int, float]:
-    """Spreads load, and keeps serving tasks away from filling ones."""
-    disturbed = slot.filling if spec.tail_target_ms else 0
-    share = slot.idle_millicores / max(1, slot.capacity_millicores)
-    return (-disturbed, share)
-
-
-def _filling_rank(slot: Slot, spec: model.StepSpec) -> tuple[int, float]:
-    """Puts filling tasks where nobody is disturbed and much is unused."""
-    del spec
-    return (-slot.serving, float(slot.idle_millicores))
+@dataclasses.dataclass(frozen=True)
+class _Rank:
+    """Compares workers for a task; the highest is taken."""
 
+    effects: disturbance.DisturbanceModel
 
-Rank = Callable[[Slot, model.StepSpec], tuple[int, float]]
+    def of(
+        self, slot: Slot, spec: model.StepSpec
+    ) -> tuple[float, float] | None:
+        """Returns a worker's rank, or None where the task may not go."""
+        if spec.fills:
+            return self._of_filling(slot, spec)
+        idle = slot.idle_millicores / max(1, slot.capacity_millicores)
+        if not spec.tail_target_ms:
+            return (0.0, idle)
+        # Workers that serve one image only can be filled with what does not
+        # disturb that image; a mixed one is disturbed by nearly everything.
+        serving = sum(slot.serving_by_image.values())
+        same = slot.serving_by_image.get(spec.image, 0)
+        purity = same / serving if serving else EMPTY_PURITY
+        return (purity, idle)
+
+    def _of_filling(
+        self, slot: Slot, spec: model.StepSpec
+    ) -> tuple[float, float] | None:
+        """Prefers workers whose serving tasks lose little by the task."""
+        share = slot.share(spec)
+        lost = 0.0
+        for image, alone in slot.alone_by_image.items():
+            added = self.effects.effect(spec.image, image) * share
+            held = self.effects.loss(image, slot.share_by_image)
+            if alone - held - added < pacing.PLACE_ABOVE:
+                return None
+            lost = max(lost, added / (alone - held))
+        return (-lost, float(slot.idle_millicores))
 
 
 def _choose(
-    slots: Sequence[Slot], demand: Demand, avoided: str, rank: Rank
+    slots: Sequence[Slot], demand: Demand, avoided: str, rank: _Rank
 ) -> Slot | None:
     spec = demand.spec
     best: Slot | None = None
-    best_rank: tuple[bool, bool, int, float] | None = None
+    best_rank: tuple[bool, bool, tuple[float, float]] | None = None
     for slot in slots:
         if not slot.fits(spec.needs, spec.fills):
             continue
@@ -114,14 +149,21 @@
             demand.count_by_worker.get(slot.worker, 0) >= spec.max_per_worker
         ):
             continue
+        own_rank = rank.of(slot, spec)
+        if own_rank is None:
+            continue
         is_near = not spec.near_rack or slot.rack == spec.near_rack
-        found = (slot.worker != avoided, is_near, *rank(slot, spec))
+        found = (slot.worker != avoided, is_near, own_rank)
         if best_rank is None or found > best_rank:
             best, best_rank = slot, found
     return best
 
 
-def place_step(slots: Sequence[Slot], demand: Demand) -> list[tuple[int, Slot]]:
+def place_step(
+    slots: Sequence[Slot],
+    demand: Demand,
+    effects: disturbance.DisturbanceModel,
+) -> list[tuple[int, Slot]]:
     """Chooses a worker for each waiting task that fits somewhere.
 
     A gang is placed whole or not at all; a colocated step goes to one rack.
@@ -130,17 +172,21 @@
         Pairs of a task's index and its worker; the slots are updated.
     """
     spec = demand.spec
+    rank = _Rank(effects)
     usable = [
         slot
         for slot in slots
         if not spec.required_label or spec.required_label in slot.labels
     ]
     if not spec.colocate:
-        return _place(usable, demand)
+        return _place(usable, demand, rank)
     racks = [demand.rack] if demand.rack else _racks_by_room(usable)
     for rack in racks:
         chosen = _place(
-            [slot for slot in usable if slot.rack == rack], demand, whole=True
+            [slot for slot in usable if slot.rack == rack],
+            demand,
+            rank,
+            whole=True,
         )
         if chosen:
             return chosen
@@ -157,7 +203,7 @@
 
 
 def _place(
-    slots: Sequence[Slot], demand: Demand, whole: bool = False
+    slots: Sequence[Slot], demand: Demand, rank: _Rank, whole: bool = False
 ) -> list[tuple[int, Slot]]:
     spec = demand.spec
     must_be_whole = whole or spec.gang
@@ -166,7 +212,6 @@
     original_by_worker = {slot.worker: slot for slot in slots}
     counts = dict(demand.count_by_worker)
     working = dataclasses.replace(demand, count_by_worker=counts)
-    rank = _filling_rank if spec.fills else _ordinary_rank
     chosen: list[tuple[int, Slot]] = []
     for index in demand.indices:
         avoided = demand.avoided_by_index.get(index, "")
