--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -342,7 +342,7 @@
         ):
             self._in_office = True
             self._office_since = now
-            self.dispatcher.take_office(now, self.state)
+            self.dispatcher.take_office(now, self.state, wall_ms)
         if not self.replica.is_leader:
             self._leave_office()
 
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -12,6 +12,7 @@
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import neighbours
+from fulmarrouter.cluster import ordering
 from fulmarrouter.cluster import placement
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
@@ -30,6 +31,8 @@
 # absent: a report may have been under way since before.
 INHERITED_S = 3.0
 EXPIRY_CHECK_S = 0.1
+# Ages of jobs taken over are read off wall clocks, which jump.
+MAX_AGE_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,10 +56,25 @@
         self._office_since = 0.0
         self._reserved: dict[model.TaskId, log_commands.Assignment] = {}
         self._expiry_due = 0.0
+        self._seen_at: dict[model.JobId, float] = {}
         self._inherited_until: dict[state_lib.WorkerKey, float] = {}
 
-    def take_office(self, now: float, state: state_lib.State) -> None:
-        """Forgets what an earlier term of office knew."""
+    def take_office(
+        self, now: float, state: state_lib.State, wall_ms: int = 0
+    ) -> None:
+        """Forgets what an earlier term of office knew.
+
+        Args:
+            now: Monotonic time.
+            state: The replicated state.
+            wall_ms: Wall clock, to tell roughly how old jobs are.
+        """
+        self._seen_at = {
+            job.id: now - min(MAX_AGE_S, max(0.0, age_ms / 1000))
+            for job in state.job_by_id.values()
+            if job.is_active
+            for age_ms in (wall_ms - job.submitted_ms,)
+        }
         self.fleet = fleet_lib.Fleet()
         self.neighbours = neighbours.Neighbours()
         self._office_since = now
@@ -238,7 +256,7 @@
             if now >= until:
                 del self._inherited_until[key]
                 found += self._lost_runs(state, key)
-        self.neighbours.forget_jobs(state)
+        self._forget_jobs(state)
         for key in list(state.runs_by_worker):
             # Committed after its worker was given up; nobody was told of it.
             known = self.fleet.view_by_id.get(key.worker)
@@ -263,8 +281,8 @@
             return None
         slots_by_service: dict[model.ServiceName, list[placement.Slot]] = {}
         assignments: list[log_commands.Assignment] = []
-        failed_needs: dict[tuple[str, bool], list[tuple[int, int]]] = {}
-        for key in self._order(state):
+        failed_needs: dict[tuple[str, bool, str], list[tuple[int, int]]] = {}
+        for key in self._order(now, state):
             job = state.job_by_id[key.job]
             service = job.queue.service
             slots = slots_by_service.get(service)
@@ -275,7 +293,9 @@
                 continue
             spec = job.spec.steps[key.step]
             shape = (spec.needs.millicores, spec.needs.memory_mb)
-            known = failed_needs.setdefault((service, spec.fills), [])
+            # What a filling task finds depends on its image too.
+            image = spec.image if spec.fills else ""
+            known = failed_needs.setdefault((service, spec.fills, image), [])
             if any(
                 shape[0] >= item[0] and shape[1] >= item[1] for item in known
             ):
@@ -324,19 +344,29 @@
             found.append(item)
         return found
 
-    def _order(self, state: state_lib.State) -> list[state_lib.StepKey]:
-        """Urgent queues first, then jobs in the order of their acceptance."""
-
-        def rank(key: state_lib.StepKey) -> tuple[int, int, int, int]:
-            job = state.job_by_id[key.job]
-            return (
-                job.queue.priority,
-                job.accepted_index,
-                key.occurrence,
-                key.step,
-            )
+    def _order(
+        self, now: float, state: state_lib.State
+    ) -> list[state_lib.StepKey]:
+        """Returns the open steps, the ones to be placed first in front."""
+        rank_by_job: dict[
+            model.JobId, tuple[int, ordering.Prospect, float, int]
+        ] = {}
+        for key in state.open_steps:
+            if key.job not in rank_by_job:
+                since = self._seen_at.setdefault(key.job, now)
+                rank_by_job[key.job] = ordering.rank(
+                    state.job_by_id[key.job], now - since
+                )
+        return sorted(
+            state.open_steps, key=lambda key: (rank_by_job[key.job], key)
+        )
 
-        return sorted(state.open_steps, key=rank)
+    def _forget_jobs(self, state: state_lib.State) -> None:
+        self.neighbours.forget_jobs(state)
+        for job_id in list(self._seen_at):
+            job = state.job_by_id.get(job_id)
+            if job is None or not job.is_active:
+                del self._seen_at[job_id]
 
     def _demand(
         self,
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -15,9 +15,11 @@
 
 # Share of its demand that a filling task must find unused on a worker.
 MIN_FILL_SHARE = 0.5
-# Rank of a worker that serves nothing among those that serve one image (1) or
-# others only (0).
-EMPTY_PURITY = 0.5
+# How much a serving task of the same image, but of another job, counts beside
+# one of the same step (1) or of another image (0).
+SAME_IMAGE_KINSHIP = 0.5
+# Where a worker that serves nothing ranks between these.
+EMPTY_KINSHIP = 0.45
 
 
 @dataclasses.dataclass
@@ -106,20 +108,31 @@
     effects: disturbance.DisturbanceModel
 
     def of(
-        self, slot: Slot, spec: model.StepSpec
+        self, slot: Slot, spec: model.StepSpec, same_step: int
     ) -> tuple[float, float] | None:
-        """Returns a worker's rank, or None where the task may not go."""
+        """Returns a worker's rank, or None where the task may not go.
+
+        Args:
+            slot: The worker.
+            spec: The task's step.
+            same_step: Tasks of that step that are on the worker already.
+        """
         if spec.fills:
             return self._of_filling(slot, spec)
         idle = slot.idle_millicores / max(1, slot.capacity_millicores)
         if not spec.tail_target_ms:
             return (0.0, idle)
-        # Workers that serve one image only can be filled with what does not
-        # disturb that image; a mixed one is disturbed by nearly everything.
+        # The least headroom on a worker decides what fits beside. Tasks of one
+        # job rise and fall together and tasks of one image bear the same
+        # neighbours, so a worker with few of either has room more often.
         serving = sum(slot.serving_by_image.values())
-        same = slot.serving_by_image.get(spec.image, 0)
-        purity = same / serving if serving else EMPTY_PURITY
-        return (purity, idle)
+        if not serving:
+            return (EMPTY_KINSHIP, idle)
+        same_image = slot.serving_by_image.get(spec.image, 0)
+        kinship = (
+            SAME_IMAGE_KINSHIP * (same_image - same_step) + same_step
+        ) / serving
+        return (kinship, idle)
 
     def _of_filling(
         self, slot: Slot, spec: model.StepSpec
@@ -149,7 +162,9 @@
             demand.count_by_worker.get(slot.worker, 0) >= spec.max_per_worker
         ):
             continue
-        own_rank = rank.of(slot, spec)
+        own_rank = rank.of(
+            slot, spec, demand.count_by_worker.get(slot.worker, 0)
+        )
         if own_rank is None:
             continue
         is_near = not spec.near_rack or slot.rack == spec.near_rack
