--- a/fulmarrouter/cluster/disk_writer.py
+++ b/fulmarrouter/cluster/disk_writer.py
@@ -109,10 +109,20 @@
 
     def _write(self, batches: list[Batch | SnapshotBatch]) -> float:
         started = time.monotonic()
-        for number, batch in enumerate(batches):
-            is_last = number == len(batches) - 1
+        joined: list[consensus.Output] = []
+        for batch in batches:
+            if isinstance(batch, Batch) and batch.output.installed is None:
+                joined.append(batch.output)
+                continue
+            self._store(joined)
+            joined = []
             if isinstance(batch, SnapshotBatch):
                 self._storage.store_snapshot(batch.snapshot, batch.entries)
             else:
-                self._storage.write(batch.output, batch.retained, sync=is_last)
+                self._storage.write(batch.output, batch.retained)
+        self._store(joined)
         return time.monotonic() - started
+
+    def _store(self, outputs: list[consensus.Output]) -> None:
+        if outputs:
+            self._storage.write(storage_lib.merge_outputs(outputs), [])
--- a/fulmarrouter/cluster/gateway.py
+++ b/fulmarrouter/cluster/gateway.py
@@ -19,6 +19,7 @@
 # A caller is not kept waiting longer than this while no leader is known.
 LEADERLESS_PATIENCE_S = 0.8
 RETRY_AFTER_MS = 1000
+MAX_MEMBERS = 16  # More keepers than any deployment has.
 
 OnReply = Callable[[requests.AnyReply], None]
 
@@ -135,6 +136,12 @@
             if not pending.sent_to:
                 self._try_send(now, call, pending)
 
+    def learn_member(self, now: float, address: str) -> None:
+        """Notes where a keeper is; it may know the leader."""
+        if address not in self.members:
+            self.members = (*self.members[-MAX_MEMBERS + 1 :], address)
+            self._locate_due = min(self._locate_due, now)
+
     def tick(self, now: float) -> None:
         """Acts on time: tries again, looks for the leader, gives up."""
         for call, pending in list(self._pending.items()):
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -41,6 +41,9 @@
 # How often a keeper that follows a leader announces itself to it, and one
 # that doesn't hear from a leader to everybody it knows.
 ANNOUNCE_S = 1.0
+# How often a settled keeper also tells the seeds, which may have no disk and
+# are all that a restarted process knows.
+SEED_ANNOUNCE_S = 2.0
 SEEKING_ANNOUNCE_S = 0.25
 # Silence of the leader after which a keeper announces itself everywhere.
 LEADER_SILENCE_S = 1.0
@@ -120,6 +123,7 @@
         self._announcements = membership.Announcements()
         self._connection_by_sender: dict[str, ids.ConnectionId] = {}
         self._announce_due = 0.0
+        self._seed_announce_due = 0.0
         self._leader_heard_at = 0.0
         self._was_leader = False
         self._held_back: list[consensus.Outbound] = []
@@ -462,6 +466,8 @@
                 request.may_found,
             )
             found = self._founder(now) == request.address.keeper
+            place = f"{request.address.host}:{request.address.port}"
+            self.gateway.learn_member(now, place)
         members: tuple[str, ...] = self.gateway.members
         if self.controller is not None:
             known = self.controller.replica.membership.all_keepers()
@@ -512,14 +518,16 @@
             replica.is_blank,
             self.settings.found_deployment,
         )
+        targets = [controller.leader_address() or self.gateway.leader]
         if controller.in_office:
             controller.announcements.note(
                 now, self._own_member(), self.settings.domain, False, False
             )
-            return
-        targets = [controller.leader_address() or self.gateway.leader]
         if not is_settled:
             targets += [*self.gateway.members, *self._seed_addresses()]
+        elif now >= self._seed_announce_due:
+            self._seed_announce_due = now + SEED_ANNOUNCE_S
+            targets += self._seed_addresses()
         if self._address in targets and replica.is_blank:
             own = self._locate(now, request)
             if own.found:
--- a/fulmarrouter/storage.py
+++ b/fulmarrouter/storage.py
@@ -5,6 +5,7 @@
 ones follow is damage of another kind, and the keeper refuses to start.
 """
 
+from collections.abc import Sequence
 import os
 import pathlib
 import struct
@@ -88,6 +89,21 @@
     return kept
 
 
+def merge_outputs(outputs: Sequence[consensus.Output]) -> consensus.Output:
+    """Joins outputs without snapshots into one that is stored as one record.
+
+    What one sync covers has to be one record: a crash may keep any part of it,
+    and a damaged record is only told from later damage at the end of the log.
+    """
+    merged = consensus.Output()
+    for output in outputs:
+        assert output.installed is None
+        if output.hard_state is not None:
+            merged.hard_state = output.hard_state
+        merged.entries = _merge(merged.entries, tuple(output.entries))
+    return merged
+
+
 class Storage:
     """The data folder of one keeper. Not shared between tasks."""
 
@@ -129,15 +145,12 @@
         self,
         output: consensus.Output,
         retained: list[messages.Entry],
-        sync: bool = True,
     ) -> None:
         """Stores and syncs a replica's output.
 
         Args:
             output: What the replica wants stored.
             retained: Entries above the snapshot, for an installed snapshot.
-            sync: Whether to sync; without it a later write's sync covers
-                this one.
 
         Raises:
             StorageError: Nothing of this output may be acknowledged.
@@ -152,7 +165,7 @@
             payload = _ENCODER.encode(
                 _Record(output.hard_state, tuple(output.entries))
             )
-            self._append(payload, sync)
+            self._append(payload)
         except OSError as error:
             raise errors.StorageError(f"{self.folder}: {error}") from error
 
@@ -219,7 +232,7 @@
         self._file = os.open(self.folder / LOG_NAME, flags, 0o600)
         self._sync_folder()
 
-    def _append(self, payload: bytes, sync: bool) -> None:
+    def _append(self, payload: bytes) -> None:
         data = _frame(payload)
         start = os.fstat(self._file).st_size
         written = 0
@@ -231,9 +244,8 @@
             os.ftruncate(self._file, start)
             raise
         self.bytes_written += len(data)
-        if sync:
-            os.fdatasync(self._file)
-            self.syncs += 1
+        os.fdatasync(self._file)
+        self.syncs += 1
 
     def _store_snapshot(self, snapshot: raft_log.SnapshotData) -> None:
         payload = _ENCODER.encode(_SnapshotFile(FORMAT_VERSION, snapshot))
