--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -14,6 +14,7 @@
 from fulmarrouter.cluster import neighbours
 from fulmarrouter.cluster import ordering
 from fulmarrouter.cluster import placement
+from fulmarrouter.cluster import progress
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
@@ -31,6 +32,9 @@
 # absent: a report may have been under way since before.
 INHERITED_S = 3.0
 EXPIRY_CHECK_S = 0.1
+# Time between planning rounds, unless a step has been opened. Each looks at
+# every worker, and what ends meanwhile is planned for in one go.
+REPLAN_S = 0.04
 # Ages of jobs taken over are read off wall clocks, which jump.
 MAX_AGE_S = 60.0
 
@@ -56,6 +60,8 @@
         self._office_since = 0.0
         self._reserved: dict[model.TaskId, log_commands.Assignment] = {}
         self._expiry_due = 0.0
+        self._plan_due = 0.0
+        self._open_when_planned = 0
         self._seen_at: dict[model.JobId, float] = {}
         self._inherited_until: dict[state_lib.WorkerKey, float] = {}
 
@@ -79,6 +85,7 @@
         self.neighbours = neighbours.Neighbours()
         self._office_since = now
         self._reserved = {}
+        self._plan_due = 0.0
         full = self._lease_end(now)
         self._inherited_until = dict.fromkeys(state.runs_by_worker, full)
 
@@ -126,6 +133,7 @@
             proposed.append(log_commands.EndRuns(tuple(ends)))
         view.is_stale = True
         self.neighbours.on_report(now, state, view)
+        self._stop_stalled(now, state, view)
         return proposed
 
     def _ends_of_earlier_lives(
@@ -203,6 +211,27 @@
             case model.Outcome.REFUSED:
                 view.refused_until = now + REFUSED_PAUSE_S
 
+    def _stop_stalled(
+        self, now: float, state: state_lib.State, view: fleet_lib.WorkerView
+    ) -> None:
+        """Has runs that stand still stopped, so that they go elsewhere."""
+        view.progress.keep_only(set(view.running))
+        for task_id, item in view.running.items():
+            found = state.find_task(task_id)
+            if found is None:
+                continue
+            job, key, _, _ = found
+            spec = job.spec.steps[key.step]
+            if self.neighbours.pace_of(now, view.key, task_id) == 0:
+                view.progress.excuse(now, task_id)
+                continue
+            still_s = view.progress.note(now, task_id, item.run, item.percent)
+            is_known = view.stopping.get(task_id) == item.run
+            if is_known or not progress.is_stalled(spec, item.percent, still_s):
+                continue
+            view.stopping[task_id] = item.run
+            view.record.note_stall(now, job.id)
+
     def note_proposed(self, report: requests.WorkerReport, index: int) -> None:
         """Notes the log index that makes a report's ends durable."""
         view = self.fleet.view_by_id.get(report.worker)
@@ -279,6 +308,11 @@
         """Assigns waiting tasks to workers."""
         if not state.open_steps:
             return None
+        is_new = len(state.open_steps) > self._open_when_planned
+        if not is_new and now < self._plan_due:
+            return None
+        self._plan_due = now + REPLAN_S
+        self._open_when_planned = len(state.open_steps)
         slots_by_service: dict[model.ServiceName, list[placement.Slot]] = {}
         assignments: list[log_commands.Assignment] = []
         failed_needs: dict[tuple[str, bool, str], list[tuple[int, int]]] = {}
@@ -414,7 +448,7 @@
                 continue
             if view.is_stale:
                 self.fleet.refresh_used(state, view)
-            slot = self._slot(now, state, view)
+            slot = self._slot(view)
             for task in reserved_by_worker.get(view.key.worker, ()):
                 found = state.find_task(task)
                 if found is not None:
@@ -423,9 +457,7 @@
             slots.append(slot)
         return slots
 
-    def _slot(
-        self, now: float, state: state_lib.State, view: fleet_lib.WorkerView
-    ) -> placement.Slot:
+    def _slot(self, view: fleet_lib.WorkerView) -> placement.Slot:
         free = view.free()
         runs = len(view.running)
         return placement.Slot(
@@ -438,7 +470,7 @@
             free_memory_mb=free.memory_mb,
             free_accelerators=free.accelerators,
             idle_millicores=view.idle_millicores,
-            alone_by_image=self.neighbours.alone_by_image(now, state, view),
+            alone_by_image=self.neighbours.alone_by_image(view.key),
             share_by_image=dict(view.share_by_image),
             serving_by_image=dict(view.serving_by_image),
             is_open_to_filling=not self.neighbours.has_paused(view.key),
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -5,6 +5,7 @@
 from fulmarrouter import commands
 from fulmarrouter.cluster import health
 from fulmarrouter.cluster import model
+from fulmarrouter.cluster import progress as progress_lib
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
@@ -35,6 +36,7 @@
         ended: Runs that it has listed as ended and that the state still has.
         running: What it last listed as running.
         used: Room taken by assigned runs, when `is_stale` is false.
+        stopping: Runs that it is told to stop though they are wanted.
         refused_until: It refused a start for want of room a moment ago.
         share_by_image: Share of the processors that assigned filling tasks
             ask for.
@@ -59,6 +61,9 @@
     record: health.WorkerHealth = dataclasses.field(
         default_factory=health.WorkerHealth
     )
+    progress: progress_lib.Progress = dataclasses.field(
+        default_factory=progress_lib.Progress
+    )
     stopping: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
 
     def lists(self, task: model.TaskId, run: int) -> bool:
--- a/fulmarrouter/cluster/health.py
+++ b/fulmarrouter/cluster/health.py
@@ -25,11 +25,13 @@
 
     Attributes:
         failed_jobs: Jobs that failed here since the last success.
+        stalled_jobs: Jobs of which a run stood still here since then.
         probation_until: No new work before this time.
         on_trial: After probation one task at a time, until one succeeds.
     """
 
     failed_jobs: list[model.JobId] = dataclasses.field(default_factory=list)
+    stalled_jobs: list[model.JobId] = dataclasses.field(default_factory=list)
     probation_until: float = 0.0
     probation_s: float = PROBATION_S
     on_trial: bool = False
@@ -37,6 +39,7 @@
     def note_success(self) -> None:
         """A task of any job was done here."""
         self.failed_jobs.clear()
+        self.stalled_jobs.clear()
         self.on_trial = False
         self.probation_s = PROBATION_S
 
@@ -49,6 +52,13 @@
             return True
         return False
 
+    def note_stall(self, now: float, job: model.JobId) -> None:
+        """A run of a job stood still here, which no job does by itself."""
+        if job not in self.stalled_jobs:
+            self.stalled_jobs.append(job)
+        if self.on_trial or len(self.stalled_jobs) >= SUSPECT_STREAK:
+            self.begin_probation(now)
+
     def begin_probation(self, now: float) -> None:
         """Keeps new work away for a while."""
         if now < self.probation_until:
--- a/fulmarrouter/cluster/neighbours.py
+++ b/fulmarrouter/cluster/neighbours.py
@@ -33,6 +33,7 @@
     Attributes:
         paused_since: Paused tasks, with the run and the time of the pause.
         resumed_at: Tasks resumed a moment ago.
+        alone_by_image: Least undisturbed headroom of its serving tasks.
     """
 
     paused_since: dict[model.TaskId, tuple[int, float]] = dataclasses.field(
@@ -41,6 +42,7 @@
     resumed_at: dict[model.TaskId, float] = dataclasses.field(
         default_factory=dict
     )
+    alone_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
     changed_at: float = float("-inf")
     learned_at: float = float("-inf")
 
@@ -65,6 +67,7 @@
         if now - watch.learned_at >= LEARN_INTERVAL_S:
             watch.learned_at = now
             self._learn(now, view, rows)
+            watch.alone_by_image = self._least_alone(now, rows)
         self._act(now, view, watch, rows)
 
     def forget_worker(self, key: state_lib.WorkerKey) -> None:
@@ -97,16 +100,17 @@
         watch = self._watch_by_worker.get(key)
         return watch is not None and bool(watch.paused_since)
 
-    def alone_by_image(
-        self, now: float, state: state_lib.State, view: fleet_lib.WorkerView
-    ) -> dict[str, float]:
+    def alone_by_image(self, key: state_lib.WorkerKey) -> dict[str, float]:
         """Returns the undisturbed headroom of a worker's serving tasks.
 
-        The least of each image; tasks that have not reported yet count as
-        undisturbed at the place where nothing more fits beside them.
+        The least of each image, as of the worker's last report.
         """
+        watch = self._watch_by_worker.get(key)
+        return watch.alone_by_image if watch is not None else {}
+
+    def _least_alone(self, now: float, rows: list[_Row]) -> dict[str, float]:
         found: dict[str, float] = {}
-        for row in _rows(state, view):
+        for row in rows:
             if not row.spec.tail_target_ms:
                 continue
             alone = self.effects.alone(now, row.job.id)
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -107,6 +107,10 @@
         self.runs_by_worker: dict[WorkerKey, dict[model.TaskId, int]] = {}
         self.touched_workers: set[WorkerKey] = set()
         self.timed_job_by_id: dict[model.JobId, Job] = {}
+        # Parts of a job keep their identity for as long as it is known.
+        self._found_by_task: dict[
+            model.TaskId, tuple[Job, StepKey, Step, Task]
+        ] = {}
 
     def find_step(self, key: StepKey) -> Step | None:
         """Returns a step's progress, or None where it isn't known."""
@@ -122,6 +126,9 @@
         self, task_id: model.TaskId
     ) -> tuple[Job, StepKey, Step, Task] | None:
         """Returns a task with its job and step, or None."""
+        known = self._found_by_task.get(task_id)
+        if known is not None:
+            return known
         parts = model.parse_task_id(task_id)
         if parts is None:
             return None
@@ -130,7 +137,9 @@
         step = self.find_step(key)
         if step is None or not 0 <= index < len(step.tasks):
             return None
-        return self.job_by_id[job_id], key, step, step.tasks[index]
+        found = self.job_by_id[job_id], key, step, step.tasks[index]
+        self._found_by_task[task_id] = found
+        return found
 
     def spec_of(self, key: StepKey) -> model.StepSpec:
         """Returns what was submitted for a step that is known."""
@@ -437,6 +446,7 @@
     state: State, index: int, command: log_commands.ForgetJobs
 ) -> Result:
     del index
+    state._found_by_task.clear()
     for job_id in command.jobs:
         job = state.job_by_id.get(job_id)
         if job is not None and not job.is_active:
