--- a/fulmarrouter/cluster/pacing.py
+++ b/fulmarrouter/cluster/pacing.py
@@ -17,7 +17,7 @@
 PAUSE_BELOW = 1.12
 # Headroom that must remain for every serving task where a filling task is
 # placed or resumed. The gap to PAUSE_BELOW keeps it from being paused again.
-PLACE_ABOVE = 1.45
+PLACE_ABOVE = 1.3
 # Time between two pauses on a worker: until the readings show the first.
 PAUSE_INTERVAL_S = 0.35
 RESUME_INTERVAL_S = 0.5
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -15,6 +15,9 @@
 
 # Share of its demand that a filling task must find unused on a worker.
 MIN_FILL_SHARE = 0.5
+# Largest part of a serving task's headroom that one filling task may take.
+# A task that takes more keeps out several that take little.
+MAX_LOSS = 0.2
 # How much a serving task of the same image, but of another job, counts beside
 # one of the same step (1) or of another image (0).
 SAME_IMAGE_KINSHIP = 0.5
@@ -143,9 +146,10 @@
         for image, alone in slot.alone_by_image.items():
             added = self.effects.effect(spec.image, image) * share
             held = self.effects.loss(image, slot.share_by_image)
-            if alone - held - added < pacing.PLACE_ABOVE:
+            left = alone - held
+            if left - added < pacing.PLACE_ABOVE or added > MAX_LOSS * left:
                 return None
-            lost = max(lost, added / (alone - held))
+            lost = max(lost, added / left)
         return (-lost, float(slot.idle_millicores))
 
 
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -33,7 +33,11 @@
 
 
 class Task(msgspec.Struct, array_like=True):
-    """One task and its latest run."""
+    """One task and its latest run.
+
+    Attributes:
+        failed_run: Latest run that has been counted as failed.
+    """
 
     phase: model.TaskPhase = model.TaskPhase.WAITING
     run: int = 0
@@ -41,6 +45,7 @@
     incarnation: int = 0
     failures: int = 0
     checkpoint: str = ""
+    failed_run: int = 0
 
 
 class Step(msgspec.Struct, array_like=True):
@@ -361,41 +366,49 @@
     if found is None:
         return
     job, key, step, task = found
-    if task.run != end.run or task.phase is model.TaskPhase.DONE:
+    if end.run > task.run or task.phase is model.TaskPhase.DONE:
         return
     spec = job.spec.steps[key.step]
-    if task.phase is model.TaskPhase.WAITING:
-        # The run had been given up for lost, but it had ended before.
-        if end.outcome is model.Outcome.DONE and not spec.restarts:
-            step.waiting -= 1
-            _complete(state, job, key, step, task)
-        return
-    if end.checkpoint:
-        _keep_checkpoint(step, spec, task, end)
     if end.outcome is model.Outcome.DONE and not spec.restarts:
+        # Counts also where the run had been given up for lost, and a later
+        # one may be running: that one is stopped, and none is started again.
         members = step.tasks if spec.gang else [task]
         for member in members:
-            if (
-                member.run == end.run
-                and member.phase is not model.TaskPhase.DONE
-            ):
+            if member.phase is not model.TaskPhase.DONE:
                 if member.phase is model.TaskPhase.WAITING:
                     step.waiting -= 1
                 _complete(state, job, key, step, member)
         return
-    task.phase = model.TaskPhase.WAITING
-    step.waiting += 1
+    is_current = end.run == task.run and task.phase is model.TaskPhase.ASSIGNED
+    if is_current:
+        if end.checkpoint:
+            _keep_checkpoint(step, spec, task, end)
+        task.phase = model.TaskPhase.WAITING
+        step.waiting += 1
     if end.outcome is model.Outcome.FAILED and not spec.restarts:
-        members = step.tasks if spec.gang else [task]
-        for member in members:
-            member.failures += 1
-        if task.failures >= job.queue.max_attempts and job.is_active:
-            _finish(state, job, model.JobPhase.FAILED)
-            return
+        _count_failure(state, job, step, spec, task, end.run)
     if job.is_active:
         _open_if_ready(state, job, key)
 
 
+def _count_failure(
+    state: State,
+    job: Job,
+    step: Step,
+    spec: model.StepSpec,
+    task: Task,
+    run: int,
+) -> None:
+    """Counts a failed run once, however often its end is reported."""
+    members = step.tasks if spec.gang else [task]
+    for member in members:
+        if run > member.failed_run:
+            member.failed_run = run
+            member.failures += 1
+    if task.failures >= job.queue.max_attempts and job.is_active:
+        _finish(state, job, model.JobPhase.FAILED)
+
+
 def _keep_checkpoint(
     step: Step, spec: model.StepSpec, task: Task, end: log_commands.RunEnd
 ) -> None:
