--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -15,6 +15,8 @@
 from fulmarrouter.cluster import dispatcher as dispatcher_lib
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import membership
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import notes as notes_lib
 from fulmarrouter.cluster import queues
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
@@ -26,6 +28,13 @@
 # How long the quorum may stay smaller than wanted before callers are served
 # all the same, where the deployment has fewer disks.
 OPEN_PATIENCE_S = 5.0
+# Ends of runs that are worth a line of their own.
+NOTABLE_OUTCOMES = (
+    model.Outcome.FAILED,
+    model.Outcome.LOST,
+    model.Outcome.REFUSED,
+    model.Outcome.GANG_INCOMPLETE,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,7 +91,10 @@
         self.replica = replica
         self.state = state_lib.decode(replica.log.snapshot.data)
         self.announcements = membership.Announcements()
-        self.dispatcher = dispatcher_lib.Dispatcher(dispatch_settings)
+        self.notes = notes_lib.Notebook()
+        self.dispatcher = dispatcher_lib.Dispatcher(
+            dispatch_settings, self.notes
+        )
         self.admission = admission.Admission()
         self._settings = settings
         self._leading_term = 0
@@ -201,6 +213,9 @@
                 now, self.state, self.dispatcher.fleet, target.queue, request
             )
             if verdict is not None:
+                self.notes.add(
+                    "job refused", job=target.job, reason=verdict.reason
+                )
                 self._answered.append(Answered(client, verdict))
                 return
         index = self._commit(
@@ -306,8 +321,16 @@
             self.announcements.fresh(now),
             self._settings.wanted_voters,
         )
-        if change is not None:
-            self.replica.propose_membership(now, change)
+        if change is None:
+            return
+        index = self.replica.propose_membership(now, change)
+        if index is not None:
+            self.notes.add(
+                "membership change",
+                voters=[item.keeper for item in change.voters],
+                learners=[item.keeper for item in change.learners],
+                index=index,
+            )
 
     def _start_confirmations(self) -> None:
         """Confirms leadership once for all requests of a batch."""
@@ -390,18 +413,62 @@
         if entry.kind is messages.EntryKind.MEMBERS:
             return
         command = log_commands.decode(entry.data)
-        result = self.state.apply(entry.index, command)
         if not self._in_office:
+            self.state.apply(entry.index, command)
             return
-        if isinstance(command, log_commands.AssignTasks):
-            self.dispatcher.on_assigned(command)
-        elif isinstance(
-            command,
-            log_commands.SubmitJob
-            | log_commands.CancelJob
-            | log_commands.ReplaceConfiguration,
-        ):
-            self._result_by_index[entry.index] = result
+        if isinstance(command, log_commands.EndRuns):
+            self._apply_ends(entry.index, command)
+            return
+        result = self.state.apply(entry.index, command)
+        match command:
+            case log_commands.AssignTasks():
+                self.dispatcher.on_assigned(command)
+            case log_commands.SubmitJob():
+                self._result_by_index[entry.index] = result
+                self.notes.add(
+                    "job accepted",
+                    job=command.job,
+                    queue=command.queue.name,
+                    result=result.name,
+                    index=entry.index,
+                    open_steps=len(self.state.open_steps),
+                )
+            case log_commands.CancelJob():
+                self._result_by_index[entry.index] = result
+                self.notes.add(
+                    "job cancelled", job=command.job, result=result.name
+                )
+            case log_commands.ReplaceConfiguration():
+                self._result_by_index[entry.index] = result
+                self.notes.add(
+                    "configuration decided",
+                    version=command.configuration.version,
+                    result=result.name,
+                    index=entry.index,
+                )
+
+    def _apply_ends(self, index: int, command: log_commands.EndRuns) -> None:
+        """Applies ends and notes which jobs are over with them."""
+        active: dict[model.JobId, state_lib.Job] = {}
+        for end in command.ends:
+            found = self.state.find_task(end.task)
+            if found is not None and found[0].is_active:
+                active[found[0].id] = found[0]
+            if end.outcome in NOTABLE_OUTCOMES:
+                self.notes.add(
+                    "run ended",
+                    task=end.task,
+                    run=end.run,
+                    worker=end.worker,
+                    outcome=end.outcome.name,
+                    index=index,
+                )
+        self.state.apply(index, command)
+        for job in active.values():
+            if not job.is_active:
+                self.notes.add(
+                    "job ended", job=job.id, phase=job.phase.name, index=index
+                )
 
     def _answer_waiting(self, now: float) -> None:
         still: list[_Waiting] = []
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -12,6 +12,7 @@
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import neighbours
+from fulmarrouter.cluster import notes
 from fulmarrouter.cluster import ordering
 from fulmarrouter.cluster import placement
 from fulmarrouter.cluster import progress
@@ -53,8 +54,13 @@
 class Dispatcher:
     """Plans runs and answers workers, while this keeper leads."""
 
-    def __init__(self, settings: DispatchSettings) -> None:
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        notebook: notes.Notebook | None = None,
+    ) -> None:
         self._settings = settings
+        self._notes = notebook or notes.Notebook()
         self.fleet = fleet_lib.Fleet()
         self.neighbours = neighbours.Neighbours()
         self._office_since = 0.0
@@ -123,6 +129,13 @@
             until = self._inherited_until.pop(key, 0.0)
             view = fleet_lib.WorkerView(key, report, now, until)
             self.fleet.view_by_id[report.worker] = view
+            self._notes.add(
+                "worker joined",
+                worker=report.worker,
+                incarnation=report.incarnation,
+                zone=report.zone,
+                runs=len(report.running),
+            )
         else:
             view = known
         view.report = report
@@ -206,8 +219,10 @@
                 view.record.note_success()
             case model.Outcome.FAILED:
                 parts = model.parse_task_id(item.task)
-                if parts is not None:
+                if parts is not None and (
                     view.record.note_failure(now, parts[0])
+                ):
+                    self._note_probation(now, view, "failures")
             case model.Outcome.REFUSED:
                 view.refused_until = now + REFUSED_PAUSE_S
 
@@ -230,7 +245,25 @@
             if is_known or not progress.is_stalled(spec, item.percent, still_s):
                 continue
             view.stopping[task_id] = item.run
-            view.record.note_stall(now, job.id)
+            self._notes.add(
+                "run stalled",
+                task=task_id,
+                worker=view.key.worker,
+                percent=item.percent,
+                still_s=round(still_s, 1),
+            )
+            if view.record.note_stall(now, job.id):
+                self._note_probation(now, view, "stalled runs")
+
+    def _note_probation(
+        self, now: float, view: fleet_lib.WorkerView, reason: str
+    ) -> None:
+        self._notes.add(
+            "worker on probation",
+            worker=view.key.worker,
+            reason=reason,
+            for_s=round(view.record.probation_until - now, 1),
+        )
 
     def note_proposed(self, report: requests.WorkerReport, index: int) -> None:
         """Notes the log index that makes a report's ends durable."""
@@ -296,6 +329,11 @@
             is_silent = now - view.heard_at > fleet_lib.FRESH_S
             if is_silent and now >= view.lease_until:
                 found += self._lost_runs(state, view.key)
+                self._notes.add(
+                    "worker lost",
+                    worker=worker,
+                    silent_s=round(now - view.heard_at, 1),
+                )
                 self.neighbours.forget_worker(view.key)
                 del self.fleet.view_by_id[worker]
         return found
--- a/fulmarrouter/cluster/health.py
+++ b/fulmarrouter/cluster/health.py
@@ -52,12 +52,14 @@
             return True
         return False
 
-    def note_stall(self, now: float, job: model.JobId) -> None:
-        """A run of a job stood still here, which no job does by itself."""
+    def note_stall(self, now: float, job: model.JobId) -> bool:
+        """A run stood still here; returns whether the worker looks suspect."""
         if job not in self.stalled_jobs:
             self.stalled_jobs.append(job)
         if self.on_trial or len(self.stalled_jobs) >= SUSPECT_STREAK:
             self.begin_probation(now)
+            return True
+        return False
 
     def begin_probation(self, now: float) -> None:
         """Keeps new work away for a while."""
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -21,6 +21,7 @@
 from fulmarrouter import event_http
 from fulmarrouter import ids
 from fulmarrouter import messages
+from fulmarrouter import metrics
 from fulmarrouter import raft_log
 from fulmarrouter import settings as settings_lib
 from fulmarrouter import storage as storage_lib
@@ -33,6 +34,7 @@
 from fulmarrouter.cluster import gateway as gateway_lib
 from fulmarrouter.cluster import identity
 from fulmarrouter.cluster import membership
+from fulmarrouter.cluster import notes
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
@@ -87,7 +89,10 @@
         super().__init__()
         self.settings = settings
         self.is_draining = False
-        self.started_at = time.monotonic()
+        self.registry = metrics.Registry()
+        self.notes = notes.Notebook()
+        self._bounded_log = notes.BoundedLog(self.log)
+        self._known_leader = ""
         self._selector = selectors.DefaultSelector()
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
@@ -249,7 +254,7 @@
 
     def reload(self) -> None:
         """Notes that the settings file has changed."""
-        self.log.info("settings changed", node=self.settings.name)
+        self.notes.add("settings changed", node=self.settings.name)
 
     def run(self) -> None:
         """Serves until stopped or drained."""
@@ -282,10 +287,23 @@
         self._run_keeper(now)
         self.gateway.tick(now)
         self._announce(now)
+        self._write_notes(now)
         self._peers.check_clocks(now)
         for server in self._servers:
             server.check_clocks(now)
 
+    def _write_notes(self, now: float) -> None:
+        if self.gateway.leader != self._known_leader:
+            self._known_leader = self.gateway.leader
+            self.notes.add("leader changed", leader=self._known_leader)
+        taken = self.notes.take()
+        if self.controller is not None:
+            taken += self.controller.notes.take()
+        for note in taken:
+            reason = str(note.fields.get("reason", ""))
+            self.registry.count("decisions", event=note.event, reason=reason)
+        self._bounded_log.write(now, taken)
+
     def _idle_seconds(self) -> float:
         if self.controller is None:
             return MAX_IDLE_S
@@ -337,6 +355,7 @@
         controller.tick(now, times.wall_ms())
         self._take_output(controller)
         synced = self._disk.poll(now)
+        self.registry.gauge("slowest_sync_seconds", self._disk.slowest_s)
         durable: int | None = None
         for batch in synced:
             for outbound in batch.output.after_sync:
--- /dev/null
+++ b/fulmarrouter/cluster/notes.py
@@ -0,0 +1,68 @@
+"""Lines that explain decisions afterwards, bounded in volume.
+
+The pure core collects notes; the node writes them to the log as far as its
+budget allows and says how many were left out.
+"""
+
+import dataclasses
+
+import structlog
+
+# Lines written per second on average, and in a burst. One line costs about a
+# tenth of a millisecond on the smallest VM.
+LINES_PER_S = 40.0
+BURST_LINES = 120.0
+REPORT_DROPPED_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Note:
+    """One decision: what was decided, about what, and why."""
+
+    event: str
+    fields: dict[str, object]
+
+
+class Notebook:
+    """Notes that were collected and not yet taken."""
+
+    def __init__(self) -> None:
+        self._notes: list[Note] = []
+
+    def add(self, event: str, **fields: object) -> None:
+        """Notes a decision."""
+        self._notes.append(Note(event, fields))
+
+    def take(self) -> list[Note]:
+        """Returns the notes collected since the last call."""
+        taken = self._notes
+        self._notes = []
+        return taken
+
+
+class BoundedLog:
+    """Writes notes within a budget of lines."""
+
+    def __init__(self, log: structlog.stdlib.BoundLogger) -> None:
+        self._log = log
+        self._tokens = BURST_LINES
+        self._refilled_at = 0.0
+        self._dropped = 0
+        self._dropped_reported_at = 0.0
+
+    def write(self, now: float, taken: list[Note]) -> None:
+        """Writes what the budget allows and counts the rest."""
+        passed = now - self._refilled_at
+        self._tokens = min(BURST_LINES, self._tokens + passed * LINES_PER_S)
+        self._refilled_at = now
+        for note in taken:
+            if self._tokens < 1:
+                self._dropped += 1
+                continue
+            self._tokens -= 1
+            self._log.info(note.event, **note.fields)
+        is_due = now - self._dropped_reported_at >= REPORT_DROPPED_S
+        if self._dropped and is_due:
+            self._log.warning("log lines left out", count=self._dropped)
+            self._dropped = 0
+            self._dropped_reported_at = now
