--- /dev/null
+++ b/features/cluster.feature
@@ -0,0 +1,82 @@
+Feature: A cluster runs jobs of steps and tasks exactly as asked
+
+  Scenario Outline: Random histories keep what must always hold, seeds <first> to <last>
+    When cluster histories <first> to <last> are played
+    Then no history breaks a promise
+
+    Examples:
+      | first | last |
+      | 1     | 1    |
+      | 0     | 29   |
+      | 100   | 129  |
+
+  Scenario Outline: The histories notice when <mechanism>
+    When cluster histories are played while <mechanism>
+    Then at least one history breaks a promise
+
+    Examples:
+      | mechanism                                              |
+      | leases are ended early                                 |
+      | leadership is not confirmed                            |
+      | voters are never replaced                              |
+      | the end of an earlier run is ignored                   |
+      | steps do not wait for earlier ones                     |
+
+  Scenario Outline: A crash in a write under one sync leaves a readable log, cut at <part> of it
+    Given a data folder with 2 synced entries
+    When 3 outputs are written under one sync and the file keeps only <part> of them
+    Then the log loads with the 2 synced entries
+
+    Examples:
+      | part             |
+      | the first third  |
+      | the last third   |
+      | the middle third |
+
+  Scenario Outline: A request that <what happened> is answered <answer>
+    Given a gateway that <leader>
+    When a job is submitted and <what happened>
+    Then the caller is told <answer>
+
+    Examples:
+      | leader             | what happened                          | answer             |
+      | knows no leader    | no leader is found                     | KEEPER_UNAVAILABLE |
+      | knows a leader     | the leader never replies               | PROPOSAL_UNKNOWN   |
+      | knows a leader     | the leader says that it does not lead  | KEEPER_UNAVAILABLE |
+      | knows a leader     | the leader accepts it                  | accepted           |
+      | knows a leader     | the leader fails over and accepts it   | accepted           |
+
+  Scenario Outline: The next membership when <situation>
+    Given a leading keeper with <voters> voters and <situation>
+    Then the next membership has voters <next voters> and learners <next learners>
+
+    Examples:
+      | voters | situation                                   | next voters | next learners |
+      | a      | a candidate b has announced itself          | a           | b             |
+      | a      | a learner b is level                        | a,b         | -             |
+      | a,b,c  | a candidate d has announced itself          | a,b,c       | d             |
+      | a,b,c  | b came back under the name x without a disk | a,c         | -             |
+      | a,b,c  | b is silent and a learner d is level        | a,c         | d             |
+      | a,b,c  | b is silent and nobody can replace it       | unchanged   | unchanged     |
+
+  Scenario Outline: <count> keepers announce themselves, <kind>
+    When <count> keepers announce themselves to the first seed, <kind>
+    Then <founders> of them found a quorum
+
+    Examples:
+      | count | kind                             | founders |
+      | 3     | blank at the first start         | 1        |
+      | 3     | blank after a loss of disks      | 0        |
+      | 3     | one of them holding a log        | 0        |
+
+  Scenario Outline: Callers on a <load> load get what they are owed
+    When the load <load> is played
+    Then urgent jobs earn at least <urgent> of what they are owed
+    And serving tasks are below their target for at least <serving> of the time
+    And filling jobs earn at least <gain> times what blind placement earns
+
+    Examples:
+      | load            | urgent | serving | gain |
+      | steady          | 0.90   | 0.95    | 1.0  |
+      | failing workers | 0.90   | 0.95    | 1.0  |
+      | stalled workers | 0.85   | 0.95    | 1.0  |
--- /dev/null
+++ b/features/steps/cluster_steps.py
@@ -0,0 +1,422 @@
+"""Steps of cluster.feature."""
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import random
+import tempfile
+from typing import Any
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from bench import load_player
+from features.support import cluster_histories
+from fulmarrouter import codes
+from fulmarrouter import commands
+from fulmarrouter import consensus
+from fulmarrouter import ids
+from fulmarrouter import messages
+from fulmarrouter import raft_log
+from fulmarrouter import storage as storage_lib
+from fulmarrouter.cluster import dispatcher
+from fulmarrouter.cluster import disturbance
+from fulmarrouter.cluster import gateway as gateway_lib
+from fulmarrouter.cluster import membership
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import state as state_lib
+
+MUTATION_SEEDS = 120
+LOAD_SEED = 2
+LOAD_SECONDS = 12.0
+
+# Histories.
+
+
+def _broken(first: int, last: int) -> list[str]:
+    broken = []
+    for seed in range(first, last + 1):
+        try:
+            cluster_histories.play(seed)
+        except cluster_histories.ViolationError as error:
+            broken.append(f"seed {seed}: {error}")
+    return broken
+
+
+@when("cluster histories {first:d} to {last:d} are played")
+def step_play(context: Any, first: int, last: int) -> None:
+    context.broken = _broken(first, last)
+
+
+@then("no history breaks a promise")
+def step_none_broken(context: Any) -> None:
+    assert not context.broken, context.broken
+
+
+def _early_lease(self: dispatcher.Dispatcher, now: float) -> float:
+    del self
+    return now + 0.2
+
+
+def _always_applied(self: consensus.Replica, read_round: int) -> bool:
+    del self, read_round
+    return True
+
+
+def _keep_members(*args: Any) -> None:
+    del args
+
+
+_END_RUN = state_lib._end_run
+
+
+def _current_runs_only(state: state_lib.State, end: Any) -> None:
+    found = state.find_task(end.task)
+    if found is not None and found[3].run != end.run:
+        return
+    _END_RUN(state, end)
+
+
+def _always_ready(job: state_lib.Job, key: state_lib.StepKey) -> bool:
+    del job, key
+    return True
+
+
+# What each mutation replaces.
+MUTATION_BY_NAME: dict[str, tuple[Any, str, Any]] = {
+    "leases are ended early": (
+        dispatcher.Dispatcher,
+        "_lease_end",
+        _early_lease,
+    ),
+    "leadership is not confirmed": (
+        consensus.Replica,
+        "read_confirmed",
+        _always_applied,
+    ),
+    "voters are never replaced": (
+        membership,
+        "_removed",
+        _keep_members,
+    ),
+    "the end of an earlier run is ignored": (
+        state_lib,
+        "_end_run",
+        _current_runs_only,
+    ),
+    "steps do not wait for earlier ones": (
+        state_lib,
+        "_is_ready",
+        _always_ready,
+    ),
+}
+
+
+@when("cluster histories are played while {mechanism}")
+def step_play_mutated(context: Any, mechanism: str) -> None:
+    target, name, replacement = MUTATION_BY_NAME[mechanism]
+    context.broken = []
+    with mock.patch.object(target, name, replacement):
+        for seed in range(MUTATION_SEEDS):
+            with contextlib.suppress(AssertionError):
+                cluster_histories.play(seed)
+                continue
+            context.broken.append(seed)
+            return
+
+
+@then("at least one history breaks a promise")
+def step_some_broken(context: Any) -> None:
+    assert context.broken
+
+
+# Storage.
+
+
+def _entry(index: int) -> messages.Entry:
+    return messages.Entry(index, 1, messages.EntryKind.COMMAND, b"x" * 300)
+
+
+@given("a data folder with {count:d} synced entries")
+def step_folder(context: Any, count: int) -> None:
+    context.folder = pathlib.Path(tempfile.mkdtemp())
+    storage = storage_lib.Storage(context.folder)
+    storage.load()
+    for index in range(1, count + 1):
+        storage.write(consensus.Output(entries=[_entry(index)]), [])
+    storage.close()
+    context.synced_bytes = (context.folder / "log").stat().st_size
+
+
+@when(
+    "{count:d} outputs are written under one sync and the file keeps only"
+    " {part} of them"
+)
+def step_torn(context: Any, count: int, part: str) -> None:
+    storage = storage_lib.Storage(context.folder)
+    known = len(storage.load().entries)
+    outputs = [
+        consensus.Output(entries=[_entry(known + number + 1)])
+        for number in range(count)
+    ]
+    storage.write(storage_lib.merge_outputs(outputs), [])
+    storage.close()
+    path = context.folder / "log"
+    data = bytearray(path.read_bytes())
+    start = context.synced_bytes
+    third = (len(data) - start) // 3
+    kept = {"the first third": 0, "the middle third": 1, "the last third": 2}
+    for number in range(3):
+        if number != kept[part]:
+            first = start + number * third
+            data[first : first + third] = bytes(third)
+    path.write_bytes(data)
+    os.sync()
+
+
+@then("the log loads with the {count:d} synced entries")
+def step_loads(context: Any, count: int) -> None:
+    storage = storage_lib.Storage(context.folder)
+    assert len(storage.load().entries) == count
+    storage.close()
+
+
+# Gateway.
+
+LEADER = "10.0.0.1:7000"
+OTHER = "10.0.0.2:7000"
+OWN = "10.0.0.9:7000"
+
+
+class _Carrier:
+    """Records what a gateway sends."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, ids.CallId, requests.AnyRequest]] = []
+
+    def send_request(
+        self, address: str, call: ids.CallId, request: requests.AnyRequest
+    ) -> bool:
+        self.sent.append((address, call, request))
+        return True
+
+    def drop_peer(self, address: str, reason: str) -> None:
+        del address, reason
+
+
+@given("a gateway that {leader}")
+def step_gateway(context: Any, leader: str) -> None:
+    context.carrier = _Carrier()
+    context.gateway = gateway_lib.Gateway(context.carrier, OWN, (LEADER,))
+    if leader == "knows a leader":
+        context.gateway.learn_leader(0.0, LEADER)
+    context.replies = []
+
+
+def _run_gateway(context: Any, start: float, end: float) -> None:
+    now = start
+    while now < end:
+        context.gateway.tick(now)
+        now += 0.05
+
+
+def _last_submission(context: Any) -> tuple[str, ids.CallId]:
+    for address, call, request in reversed(context.carrier.sent):
+        if isinstance(request, requests.SubmitJob):
+            return address, call
+    raise AssertionError("nothing was sent")
+
+
+@when("a job is submitted and {happening}")
+def step_submit(context: Any, happening: str) -> None:
+    gateway = context.gateway
+    request = requests.SubmitJob("host", "/q/1", model.JobSpec("payload", ()))
+    gateway.ask(0.0, request, 2.5, context.replies.append)
+    match happening:
+        case "the leader says that it does not lead":
+            _, call = _last_submission(context)
+            refused = requests.Refused(codes.Code.NOT_LEADER)
+            gateway.on_reply(0.1, call, refused)
+        case "the leader accepts it":
+            _, call = _last_submission(context)
+            gateway.on_reply(0.1, call, requests.Accepted())
+        case "the leader fails over and accepts it":
+            gateway.on_closed(0.2, LEADER)
+            gateway.learn_leader(0.5, OTHER)
+            address, call = _last_submission(context)
+            assert address == OTHER
+            gateway.on_reply(0.6, call, requests.Accepted())
+    _run_gateway(context, 0.7, 3.0)
+
+
+@then("the caller is told {answer}")
+def step_told(context: Any, answer: str) -> None:
+    (reply,) = context.replies
+    if answer == "accepted":
+        assert isinstance(reply, requests.Accepted)
+        return
+    assert reply.code is codes.Code[answer]
+
+
+# Membership.
+
+
+def _address(keeper: str, place: str = "") -> commands.KeeperAddress:
+    return commands.KeeperAddress(keeper, f"host-{place or keeper}", 7000)
+
+
+def _replica(voters: str, learners: tuple[str, ...]) -> consensus.Replica:
+    members = messages.Membership(
+        tuple(_address(item) for item in voters.split(",")),
+        tuple(_address(item) for item in learners),
+    )
+    saved = consensus.Saved(
+        consensus.HardState(1, "a"),
+        raft_log.SnapshotData(1, 1, members, b""),
+        (),
+    )
+    replica = consensus.Replica(
+        "a", saved, consensus.Timing(), random.Random(1), 0.0
+    )
+    replica.tick(10.0)
+    for peer in voters.split(",")[1:]:
+        for pre, term in ((True, 2), (False, 2)):
+            replica.step(10.0, peer, messages.VoteReply(term, True, pre))
+    assert replica.is_leader
+    return replica
+
+
+def _hear(replica: consensus.Replica, now: float, peer: str) -> None:
+    replica.step(
+        now,
+        peer,
+        messages.AppendReply(
+            term=replica.term,
+            success=True,
+            match_index=replica.log.last_index,
+            prev_index=replica.log.last_index,
+            round=0,
+            blank=False,
+        ),
+    )
+
+
+def _candidate(keeper: str, place: str = "") -> membership.Candidate:
+    return membership.Candidate(
+        _address(keeper, place), "zone", True, False, 14.0, 14.0
+    )
+
+
+@given("a leading keeper with {voters} voters and {situation}")
+def step_leading(context: Any, voters: str, situation: str) -> None:
+    learners: tuple[str, ...] = ()
+    candidates: list[membership.Candidate] = []
+    heard = voters.split(",")[1:]
+    match situation:
+        case "a candidate b has announced itself":
+            candidates = [_candidate("b")]
+        case "a candidate d has announced itself":
+            candidates = [_candidate("d")]
+        case "a learner b is level":
+            learners = ("b",)
+        case "b came back under the name x without a disk":
+            candidates = [_candidate("x", "b")]
+            heard = ["c"]
+        case "b is silent and a learner d is level":
+            learners = ("d",)
+            heard = ["c"]
+        case "b is silent and nobody can replace it":
+            heard = ["c"]
+    replica = _replica(voters, learners)
+    for peer in (*heard, *learners):
+        _hear(replica, 14.0, peer)
+    context.membership = membership.next_membership(
+        14.0, replica, candidates, 3
+    )
+
+
+@then("the next membership has voters {voters} and learners {learners}")
+def step_membership(context: Any, voters: str, learners: str) -> None:
+    found = context.membership
+    if voters == "unchanged":
+        assert found is None, found
+        return
+    assert found is not None
+    assert ",".join(item.keeper for item in found.voters) == voters
+    names = ",".join(item.keeper for item in found.learners) or "-"
+    assert names == learners
+
+
+@when("{count:d} keepers announce themselves to the first seed, {kind}")
+def step_announce(context: Any, count: int, kind: str) -> None:
+    known = membership.Announcements()
+    named = set()
+    now = 0.0
+    while now < 10.0:
+        for number in range(count):
+            holds_log = kind == "one of them holding a log" and number == 0
+            known.note(
+                now,
+                _address(f"k{number}"),
+                "zone",
+                not holds_log,
+                kind != "blank after a loss of disks",
+            )
+            named.add(known.founder(now, 3))
+        now += 0.25
+    context.founders = named - {""}
+
+
+@then("{count:d} of them found a quorum")
+def step_founders(context: Any, count: int) -> None:
+    assert len(context.founders) == count, context.founders
+
+
+# Loads.
+
+
+def _play(name: str) -> load_player.Report:
+    scenario = dataclasses.replace(
+        load_player.SCENARIO_BY_NAME[name], seconds=LOAD_SECONDS
+    )
+    return load_player.Player(scenario, LOAD_SEED).play()
+
+
+@when("the load {name} is played")
+def step_load(context: Any, name: str) -> None:
+    context.report = _play(name)
+    context.load = name
+
+
+@then("urgent jobs earn at least {share:f} of what they are owed")
+def step_urgent(context: Any, share: float) -> None:
+    assert context.report.by_kind["urgent"].share >= share
+
+
+@then("serving tasks are below their target for at least {share:f} of the time")
+def step_serving(context: Any, share: float) -> None:
+    assert context.report.serving_share >= share, context.report.serving_share
+
+
+def _blind_effect(
+    self: disturbance.DisturbanceModel, filling: str, serving: str
+) -> float:
+    del self, filling, serving
+    return disturbance.PRIOR_EFFECT
+
+
+@then("filling jobs earn at least {gain:f} times what blind placement earns")
+def step_gain(context: Any, gain: float) -> None:
+    with mock.patch.object(
+        disturbance.DisturbanceModel, "effect", _blind_effect
+    ):
+        blind = _play(context.load)
+    earned = context.report.by_kind["filling"].share
+    assert earned >= gain * blind.by_kind["filling"].share, (
+        earned,
+        blind.by_kind["filling"].share,
+    )
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -69,6 +69,7 @@
         self._plan_due = 0.0
         self._open_when_planned = 0
         self._seen_at: dict[model.JobId, float] = {}
+        self._failed_on: dict[model.JobId, set[model.WorkerId]] = {}
         self._inherited_until: dict[state_lib.WorkerKey, float] = {}
 
     def take_office(
@@ -219,9 +220,14 @@
                 view.record.note_success()
             case model.Outcome.FAILED:
                 parts = model.parse_task_id(item.task)
-                if parts is not None and (
-                    view.record.note_failure(now, parts[0])
-                ):
+                if parts is None:
+                    return
+                failed_on = self._failed_on.setdefault(parts[0], set())
+                failed_on.add(view.key.worker)
+                # A job that fails everywhere says nothing of a worker.
+                if len(failed_on) > 1:
+                    return
+                if view.record.note_failure(now, parts[0]):
                     self._note_probation(now, view, "failures")
             case model.Outcome.REFUSED:
                 view.refused_until = now + REFUSED_PAUSE_S
@@ -439,6 +445,7 @@
             job = state.job_by_id.get(job_id)
             if job is None or not job.is_active:
                 del self._seen_at[job_id]
+                self._failed_on.pop(job_id, None)
 
     def _demand(
         self,
--- a/fulmarrouter/cluster/progress.py
+++ b/fulmarrouter/cluster/progress.py
@@ -13,6 +13,9 @@
 STALLED_AFTER_S = 1.5
 # That many hundredths of the estimated duration are waited for as well.
 ESTIMATE_STEPS = 6
+# Filling tasks stand still by themselves while others need the processors, so
+# they are given this many times as long.
+FILLING_PATIENCE = 2.0
 # A serving task that is not at work this long after its start is stalled.
 STARTUP_S = 4.0
 AT_WORK_PERCENT = 100
@@ -58,4 +61,6 @@
     if spec.restarts:
         return percent < AT_WORK_PERCENT and still_s > STARTUP_S
     patience = STALLED_AFTER_S + ESTIMATE_STEPS * spec.estimated_ms / 100_000
+    if spec.fills:
+        patience *= FILLING_PATIENCE
     return still_s > patience
