--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -10,6 +10,10 @@
       | 0     | 29   |
       | 100   | 129  |
 
+  Scenario: A leader that only workers and callers reach misleads nobody
+    When 5 cluster histories with an isolated leader are played
+    Then no history breaks a promise
+
   Scenario Outline: The histories notice when <mechanism>
     When cluster histories are played while <mechanism>
     Then at least one history breaks a promise
--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,54 @@
+Feature: The cluster speaks the users' platform's calls
+
+  Scenario Outline: A configuration with <fault> is <verdict>
+    When a configuration with <fault> is decoded
+    Then it is <verdict>
+
+    Examples:
+      | fault                  | verdict  |
+      | no fault               | accepted |
+      | a cut end              | refused  |
+      | an unknown service     | refused  |
+      | two routes at a place  | refused  |
+      | a timeout of 0         | refused  |
+      | a missing version      | refused  |
+      | a version that is text | refused  |
+      | fields not known yet   | accepted |
+
+  Scenario Outline: A heartbeat with <fault> is <verdict>
+    When a heartbeat with <fault> is decoded
+    Then it is <verdict>
+
+    Examples:
+      | fault               | verdict  |
+      | no fault            | accepted |
+      | bytes that are none | refused  |
+      | an unknown state    | refused  |
+      | no born             | refused  |
+      | a born that is text | refused  |
+      | an unknown ending   | refused  |
+
+  Scenario Outline: A job with <fault> is <verdict>
+    When a job with <fault> is decoded
+    Then it is <verdict>
+
+    Examples:
+      | fault                      | verdict  |
+      | no fault                   | accepted |
+      | no steps                   | refused  |
+      | a step after itself        | refused  |
+      | a step of no tasks         | refused  |
+
+  Scenario: Orders leave out what is empty and keep what is not
+    When orders with a start, a stop and a pace are encoded
+    Then the answer holds exactly those
+
+  Scenario: Three processes found a quorum, run a job, and go on without their leader
+    Given 3 processes of a cluster with disks and 1 without
+    And an operator's configuration and 2 stand-in workers
+    When a caller submits a job to the process without a disk
+    Then its tasks are all done within 15 seconds
+    When the leading process is killed
+    And a caller submits a job to the process without a disk
+    Then its tasks are all done within 25 seconds
+    And a process that is stopped with a signal ends within its grace period
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -31,6 +31,7 @@
 from fulmarrouter.cluster import state as state_lib
 
 MUTATION_SEEDS = 120
+ISOLATED_SEEDS = 3
 LOAD_SEED = 2
 LOAD_SECONDS = 12.0
 
@@ -52,6 +53,16 @@
     context.broken = _broken(first, last)
 
 
+@when("{count:d} cluster histories with an isolated leader are played")
+def step_play_isolated(context: Any, count: int) -> None:
+    context.broken = []
+    for seed in range(count):
+        try:
+            cluster_histories.play_isolated_leader(seed)
+        except cluster_histories.ViolationError as error:
+            context.broken.append(f"seed {seed}: {error}")
+
+
 @then("no history breaks a promise")
 def step_none_broken(context: Any) -> None:
     assert not context.broken, context.broken
@@ -124,6 +135,8 @@
         for seed in range(MUTATION_SEEDS):
             with contextlib.suppress(AssertionError):
                 cluster_histories.play(seed)
+                if seed < ISOLATED_SEEDS:
+                    cluster_histories.play_isolated_leader(seed)
                 continue
             context.broken.append(seed)
             return
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,407 @@
+"""Steps of platform.feature: the adapter, and real processes that use it."""
+
+import concurrent.futures
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+import yaml
+
+from fulmarrouter import errors
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import requests
+
+ROOT = pathlib.Path(__file__).parents[2]
+sys.path.append(str(ROOT / "platform"))
+
+from fleet_adapter import configuration_format  # noqa: E402
+from fleet_adapter import job_format  # noqa: E402
+from fleet_adapter import worker_format  # noqa: E402
+
+CALLER_PORT = 18161
+READY_PORT = 18162
+CONTROL_PORT = 18163
+PEER_PORT = 18164
+START_TIMEOUT_S = 20.0
+
+
+def _configuration() -> dict[str, Any]:
+    return {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r1",
+                "host": "h.example",
+                "path_prefix": "/a/",
+                "kind": "unsafe",
+                "timeout_ms": 3000,
+                "target_duration_ms": 1000,
+                "priority": 0,
+                "service": "s1",
+                "max_attempts": 3,
+                "stretch": 1.5,
+            }
+        ],
+        "services": [{"name": "s1", "admission_control": True}],
+        "limits": {"max_body_bytes": 262144},
+    }
+
+
+def _try(context: Any, decode: Any, *arguments: Any) -> None:
+    try:
+        decode(*arguments)
+    except errors.RequestError:
+        context.verdict = "refused"
+        return
+    context.verdict = "accepted"
+
+
+@when("a configuration with {fault} is decoded")
+def step_configuration(context: Any, fault: str) -> None:
+    given_configuration = _configuration()
+    route = given_configuration["routes"][0]
+    match fault:
+        case "an unknown service":
+            route["service"] = "nobody"
+        case "two routes at a place":
+            given_configuration["routes"].append({**route, "name": "r2"})
+        case "a timeout of 0":
+            route["timeout_ms"] = 0
+        case "a missing version":
+            del given_configuration["version"]
+        case "a version that is text":
+            given_configuration["version"] = "7"
+        case "fields not known yet":
+            route["colour"] = {"hue": 3}
+    body = json.dumps(given_configuration).encode()
+    if fault == "a cut end":
+        body = body[:-20]
+    _try(context, configuration_format.decode_configuration, body)
+
+
+@when("a heartbeat with {fault} is decoded")
+def step_heartbeat(context: Any, fault: str) -> None:
+    heartbeat: dict[str, Any] = {
+        "service": "s1",
+        "address": "10.0.0.9:8080",
+        "zone": "z",
+        "state": "ready",
+        "sequence": 1,
+        "born": 1700000000000,
+        "capacity": {"cpu": 1000, "mem_mb": 100, "gpu": 0},
+        "labels": ["a", "r1"],
+        "running": [["0a.0.0.1", 1, "", 10, 900]],
+        "ended": [[1, "0a.0.0.2", 1, "done", ""]],
+    }
+    match fault:
+        case "an unknown state":
+            heartbeat["state"] = "dancing"
+        case "no born":
+            del heartbeat["born"]
+        case "a born that is text":
+            heartbeat["born"] = "1700000000000"
+        case "an unknown ending":
+            heartbeat["ended"][0][3] = "vanished"
+    body = json.dumps(heartbeat).encode()
+    if fault == "bytes that are none":
+        body = b"\xff\xfe{"
+    _try(context, worker_format.decode_heartbeat, "i-1", body)
+
+
+@when("a job with {fault} is decoded")
+def step_job(context: Any, fault: str) -> None:
+    steps: list[dict[str, Any]] = [
+        {"count": 2, "cpu": 500, "mem_mb": 10},
+        {"count": 1, "cpu": 500, "mem_mb": 10, "after": [0]},
+    ]
+    match fault:
+        case "no steps":
+            steps = []
+        case "a step after itself":
+            steps[1]["after"] = [1]
+        case "a step of no tasks":
+            steps[0]["count"] = 0
+    body = json.dumps({"spec": "text", "steps": steps}).encode()
+    _try(context, job_format.decode_job, body)
+
+
+@then("it is {verdict}")
+def step_verdict(context: Any, verdict: str) -> None:
+    assert context.verdict == verdict
+
+
+@when("orders with a start, a stop and a pace are encoded")
+def step_orders(context: Any) -> None:
+    task = model.TaskId("0a.0.0.1")
+    orders = requests.Orders(
+        lease_ms=4000,
+        noted_end=3,
+        fencing=2,
+        starts=(requests.StartOrder(task, 1, "text", ""),),
+        stops=(requests.StopOrder(task, 1),),
+        paces=(requests.PaceOrder(task, 1, 0),),
+    )
+    context.answer = json.loads(worker_format.encode_orders(orders))
+
+
+@then("the answer holds exactly those")
+def step_exactly(context: Any) -> None:
+    assert context.answer == {
+        "hold_ms": 4000,
+        "fencing_token": 2,
+        "ack_seq": 3,
+        "start": [["0a.0.0.1", 1, "text", ""]],
+        "stop": [["0a.0.0.1", 1]],
+        "pace": [["0a.0.0.1", 1, 0]],
+    }
+    assert json.loads(worker_format.encode_orders(requests.Orders())) == {}
+
+
+# Real processes.
+
+
+def _call(
+    host: str,
+    port: int,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, bytes]:
+    connection = http.client.HTTPConnection(host, port, timeout=4)
+    try:
+        data = None if body is None else json.dumps(body)
+        connection.request(method, path, data, headers or {})
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+class _Process:
+    """One process of the cluster, on a loopback address of its own."""
+
+    def __init__(
+        self, number: int, seeds: list[str], folder: pathlib.Path | None
+    ) -> None:
+        self.host = f"127.0.1.{number}"
+        settings = {
+            "role": "node",
+            "name": f"node-{number}",
+            "domain": f"zone-{number}",
+            "host": self.host,
+            "peer_port": PEER_PORT,
+            "callers": f"{self.host}:{CALLER_PORT}",
+            "readiness": f"{self.host}:{READY_PORT}",
+            "control": f"{self.host}:{CONTROL_PORT}",
+            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
+            "found_deployment": True,
+            "data_folder": str(folder) if folder else "",
+        }
+        file = tempfile.NamedTemporaryFile(  # noqa: SIM115
+            "w", suffix=".yaml", delete=False
+        )
+        with file:
+            yaml.safe_dump(settings, file)
+        self.process = subprocess.Popen(
+            [sys.executable, str(ROOT / "platform" / "start.py")],
+            env={**os.environ, "FULMARROUTER_CONFIG": file.name},
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+        )
+
+    def is_ready(self) -> bool:
+        """Whether the readiness check succeeds."""
+        try:
+            return (
+                _call(self.host, READY_PORT, "GET", "/api/readiness")[0] == 200
+            )
+        except OSError:
+            return False
+
+
+class _StandInWorker(threading.Thread):
+    """A worker that follows the published contract; tasks take 0.2 s."""
+
+    def __init__(self, name: str, targets: list[str]) -> None:
+        super().__init__(daemon=True)
+        self._worker = name
+        self._targets = targets
+        self._address = (targets[0], CONTROL_PORT)
+        self._runs: dict[str, tuple[int, float]] = {}
+        self._ended: list[list[Any]] = []
+        self._ends = 0
+        self.leader = ""
+        self.stopping = False
+
+    def run(self) -> None:
+        """Reports until stopped."""
+        sequence = 0
+        born = int(time.time() * 1000)
+        while not self.stopping:
+            sequence += 1
+            now = time.monotonic()
+            for task, (run, ends_at) in list(self._runs.items()):
+                if now >= ends_at:
+                    del self._runs[task]
+                    self._ends += 1
+                    self._ended.append([self._ends, task, run, "done", ""])
+            heartbeat = {
+                "service": "s1",
+                "address": "127.0.0.1:1",
+                "zone": "z",
+                "state": "ready",
+                "sequence": sequence,
+                "born": born,
+                "capacity": {"cpu": 8000, "mem_mb": 1000, "gpu": 0},
+                "labels": ["a", "r1"],
+                "machine": self._worker,
+                "running": [
+                    [task, run, "", 10] for task, (run, _) in self._runs.items()
+                ],
+                "ended": self._ended,
+            }
+            path = f"/api/instances/{self._worker}/heartbeat"
+            try:
+                status, body = _call(*self._address, "POST", path, heartbeat)
+                answer = json.loads(body) if status == 200 else {}
+            except (OSError, ValueError, http.client.HTTPException):
+                status, answer = 0, {}
+            if status != 200:
+                target = self._targets[sequence % len(self._targets)]
+                self._address = (target, CONTROL_PORT)
+            self._obey(answer)
+            time.sleep(0.1)
+
+    def _obey(self, answer: dict[str, Any]) -> None:
+        if "heartbeat_address" in answer:
+            host, _, port = answer["heartbeat_address"].rpartition(":")
+            self._address = (host, int(port))
+            self.leader = host
+        noted = answer.get("ack_seq", 0)
+        self._ended = [item for item in self._ended if item[0] > noted]
+        for task, run, _, _ in answer.get("start", []):
+            self._runs[task] = (run, time.monotonic() + 0.2)
+
+
+def _stop_processes(processes: list[_Process]) -> None:
+    for item in processes:
+        if item.process.poll() is None:
+            item.process.kill()
+        item.process.wait(timeout=10)
+
+
+@given("{disks:d} processes of a cluster with disks and {others:d} without")
+def step_processes(context: Any, disks: int, others: int) -> None:
+    seeds = [f"127.0.1.{number}" for number in range(1, disks + 1)]
+    context.processes = [
+        _Process(
+            number,
+            seeds,
+            pathlib.Path(tempfile.mkdtemp()) if number <= disks else None,
+        )
+        for number in range(1, disks + others + 1)
+    ]
+    context.add_cleanup(_stop_processes, context.processes)
+    context.entry = context.processes[-1]
+    _wait_for(START_TIMEOUT_S, context.entry.is_ready)
+
+
+def _wait_for(seconds: float, condition: Any) -> None:
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until, f"not within {seconds} s"
+        time.sleep(0.1)
+
+
+@given("an operator's configuration and {count:d} stand-in workers")
+def step_operator(context: Any, count: int) -> None:
+    def is_accepted() -> bool:
+        status, _ = _call(
+            context.entry.host,
+            CONTROL_PORT,
+            "POST",
+            "/api/config/replace",
+            _configuration(),
+        )
+        return status == 200
+
+    _wait_for(START_TIMEOUT_S, is_accepted)
+    hosts = [item.host for item in context.processes]
+    context.workers = [
+        _StandInWorker(f"w{number}", hosts) for number in range(count)
+    ]
+    for worker in context.workers:
+        worker.start()
+    context.jobs = 0
+
+
+@when("a caller submits a job to the process without a disk")
+def step_caller(context: Any) -> None:
+    context.jobs += 1
+    context.path = f"/a/{context.jobs:016x}"
+    steps = [
+        {"count": 3, "cpu": 500, "mem_mb": 10},
+        {"count": 2, "cpu": 500, "mem_mb": 10, "after": [0]},
+    ]
+    body = {"spec": "text", "steps": steps}
+
+    def is_accepted() -> bool:
+        status, _ = _call(
+            context.entry.host,
+            CALLER_PORT,
+            "POST",
+            context.path,
+            body,
+            {"Host": "h.example"},
+        )
+        return status == 200
+
+    _wait_for(START_TIMEOUT_S, is_accepted)
+
+
+@then("its tasks are all done within {seconds:d} seconds")
+def step_done(context: Any, seconds: int) -> None:
+    def is_done() -> bool:
+        status, body = _call(
+            context.entry.host,
+            CALLER_PORT,
+            "GET",
+            context.path,
+            None,
+            {"Host": "h.example"},
+        )
+        return status == 200 and json.loads(body) == {"state": "done"}
+
+    _wait_for(seconds, is_done)
+
+
+@when("the leading process is killed")
+def step_kill_leader(context: Any) -> None:
+    leader = context.workers[0].leader
+    for item in context.processes:
+        if item.host == leader:
+            item.process.kill()
+            return
+    raise AssertionError("no worker has been told of a leader")
+
+
+@then("a process that is stopped with a signal ends within its grace period")
+def step_graceful(context: Any) -> None:
+    for worker in context.workers:
+        worker.stopping = True
+    with concurrent.futures.ThreadPoolExecutor(1) as executor:
+        context.entry.process.send_signal(signal.SIGTERM)
+        ended = executor.submit(context.entry.process.wait, 10)
+        assert ended.result() == 0
--- a/features/support/cluster_histories.py
+++ b/features/support/cluster_histories.py
@@ -68,9 +68,18 @@
         self.lives = 0
         self.controller: controller_lib.Controller | None = None
         self.cut_off = False
+        self.isolated = False
         self.frozen_until = 0.0
         self.writing: list[tuple[float, consensus.Output, int, int]] = []
 
+    @property
+    def is_apart(self) -> bool:
+        """Whether the other keepers can't be reached.
+
+        An isolated host is still reached by workers and callers.
+        """
+        return self.cut_off or self.isolated
+
     @property
     def address(self) -> str:
         """Peer address of the host."""
@@ -121,6 +130,7 @@
         self.hosts = [_Host(number) for number in range(1, 5)]
         self.workers = [_Worker(model.WorkerId(f"w{n}")) for n in range(4)]
         self.loss = 0.0
+        self.avoided: _Host | None = None
         self.accepted: set[model.JobId] = set()
         self.cancelled: set[model.JobId] = set()
         self.shown_done: set[model.JobId] = set()
@@ -203,7 +213,7 @@
                 delay += self._rng.uniform(0, 0.3)
 
             def arrive() -> None:
-                if source.cut_off or target.cut_off:
+                if source.is_apart or target.is_apart:
                     return
                 if target.controller is not None:
                     action(target)
@@ -321,11 +331,15 @@
         leading = [
             host
             for host in self.hosts
-            if host.controller is not None and host.controller.in_office
+            if host.controller is not None
+            and host.controller.in_office
+            and host is not self.avoided
         ]
         if leading and self._rng.random() < 0.9:
             return self._rng.choice(leading)
-        return self._rng.choice(self.hosts)
+        return self._rng.choice(
+            [host for host in self.hosts if host is not self.avoided]
+        )
 
     # Callers and operators.
 
@@ -345,8 +359,8 @@
             replied,
         )
 
-    def read(self) -> None:
-        """An operator reads the configuration from some host."""
+    def read(self, host: _Host | None = None) -> None:
+        """An operator reads the configuration from a host."""
         expected = self.version_acked
 
         def replied(reply: requests.AnyReply) -> None:
@@ -357,7 +371,7 @@
                 self.version_read = max(self.version_read, version)
 
         self.ask(
-            self._pick(),
+            host or self._pick(),
             requests.ReadConfiguration(),
             replied,
         )
@@ -587,18 +601,19 @@
             if worker.alive and len(worker.runs) > 4:
                 raise ViolationError(f"{worker.worker} is over its capacity")
 
-    def quiesce(self) -> None:
+    def quiesce(self, seconds: float = 25.0) -> None:
         """Ends all faults; then every accepted job has to come to an end."""
         self.loss = 0.0
         for host in self.hosts:
             host.cut_off = False
+            host.isolated = False
             host.frozen_until = 0.0
             self.restart(host)
         for worker in self.workers:
             worker.cut_off = False
         for worker in list(self.workers):
             self.revive_worker(worker)
-        self.run_until(self.now + 25.0)
+        self.run_until(self.now + seconds)
         leaders = [
             host.controller
             for host in self.hosts
@@ -666,24 +681,55 @@
             case 13:
                 for host in history.hosts:
                     host.cut_off = False
+                    host.isolated = False
                     history.restart(host)
         history.run_until(history.now + rng.choice((0.05, 0.2, 0.6)))
     history.quiesce()
     return history
 
 
+def play_isolated_leader(seed: int) -> History:
+    """Plays a leader that only workers and callers reach, for some seconds.
+
+    Raises:
+        ViolationError: Something that must always hold did not.
+    """
+    history = History(seed)
+    history.run_until(6.0)
+    history.configure(1)
+    history.run_until(6.5)
+    old = next(
+        host
+        for host in history.hosts
+        if host.controller is not None and host.controller.in_office
+    )
+    old.isolated = True
+    # What it can't commit would hold up its answers.
+    history.avoided = old
+    for version in range(2, 102):
+        history.configure(version)
+        history.submit()
+        history.read(old)
+        history.run_until(history.now + 0.04)
+    # A hundred jobs take the four workers about half a minute.
+    history.quiesce(60.0)
+    return history
+
+
 def _harm_keeper(history: History, rng: random.Random) -> None:
     """Harms one keeper at most: that is what the deployment bears."""
     harmed = [
         host
         for host in history.hosts
-        if host.controller is None or host.cut_off
+        if host.controller is None or host.is_apart
     ]
     if harmed:
         return
     host = rng.choice(history.hosts)
-    match rng.randrange(4):
+    match rng.randrange(5):
         case 0:
+            host.isolated = True
+        case 3:
             history.crash(host, wipe=False)
         case 1 if _may_wipe(history):
             history.crash(host, wipe=True)
