--- a/features/platform.feature
+++ b/features/platform.feature
@@ -52,3 +52,14 @@
     And a caller submits a job to the process without a disk
     Then its tasks are all done within 25 seconds
     And a process that is stopped with a signal ends within its grace period
+
+  Scenario: An operator finds the cause of three kinds of failed request from its id
+    Given 3 processes of a cluster with disks and 1 without
+    And an operator's configuration and 2 stand-in workers
+    When a caller submits a job whose tasks fail
+    Then its state is failed within 15 seconds
+    And the leader's log tells from its id which runs failed and where
+    When a caller asks for a queue that does not exist
+    Then its process's log tells from the request's id that no queue has that path
+    When a caller submits a job while no keeper runs
+    Then its process's log tells from the request's id that no keeper could be reached
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -34,6 +34,7 @@
 CONTROL_PORT = 18163
 PEER_PORT = 18164
 START_TIMEOUT_S = 20.0
+FAILING_PAYLOAD = "fail"
 
 
 def _configuration() -> dict[str, Any]:
@@ -218,9 +219,21 @@
             [sys.executable, str(ROOT / "platform" / "start.py")],
             env={**os.environ, "FULMARROUTER_CONFIG": file.name},
             cwd=ROOT,
-            stdout=subprocess.DEVNULL,
+            stdout=self._open_log(file.name + ".log"),
         )
 
+    def _open_log(self, path: str) -> Any:
+        self.log_path = pathlib.Path(path)
+        return self.log_path.open("w")
+
+    def log_lines(self, *parts: str) -> list[str]:
+        """Returns the lines of the process's log that hold all parts."""
+        return [
+            line
+            for line in self.log_path.read_text().splitlines()
+            if all(part in line for part in parts)
+        ]
+
     def is_ready(self) -> bool:
         """Whether the readiness check succeeds."""
         try:
@@ -240,6 +253,7 @@
         self._targets = targets
         self._address = (targets[0], CONTROL_PORT)
         self._runs: dict[str, tuple[int, float]] = {}
+        self._failing: set[str] = set()
         self._ended: list[list[Any]] = []
         self._ends = 0
         self.leader = ""
@@ -256,7 +270,8 @@
                 if now >= ends_at:
                     del self._runs[task]
                     self._ends += 1
-                    self._ended.append([self._ends, task, run, "done", ""])
+                    how = "failed" if task in self._failing else "done"
+                    self._ended.append([self._ends, task, run, how, ""])
             heartbeat = {
                 "service": "s1",
                 "address": "127.0.0.1:1",
@@ -291,7 +306,9 @@
             self.leader = host
         noted = answer.get("ack_seq", 0)
         self._ended = [item for item in self._ended if item[0] > noted]
-        for task, run, _, _ in answer.get("start", []):
+        for task, run, payload, _ in answer.get("start", []):
+            if payload == FAILING_PAYLOAD:
+                self._failing.add(task)
             self._runs[task] = (run, time.monotonic() + 0.2)
 
 
@@ -349,13 +366,22 @@
 
 @when("a caller submits a job to the process without a disk")
 def step_caller(context: Any) -> None:
+    _submit(context, "text")
+
+
+@when("a caller submits a job whose tasks fail")
+def step_caller_failing(context: Any) -> None:
+    _submit(context, FAILING_PAYLOAD)
+
+
+def _submit(context: Any, payload: str) -> None:
     context.jobs += 1
     context.path = f"/a/{context.jobs:016x}"
     steps = [
         {"count": 3, "cpu": 500, "mem_mb": 10},
         {"count": 2, "cpu": 500, "mem_mb": 10, "after": [0]},
     ]
-    body = {"spec": "text", "steps": steps}
+    body = {"spec": payload, "steps": steps}
 
     def is_accepted() -> bool:
         status, _ = _call(
@@ -387,6 +413,84 @@
     _wait_for(seconds, is_done)
 
 
+@then("its state is {state} within {seconds:d} seconds")
+def step_state(context: Any, state: str, seconds: int) -> None:
+    def is_reached() -> bool:
+        status, body = _call(
+            context.entry.host,
+            CALLER_PORT,
+            "GET",
+            context.path,
+            None,
+            {"Host": "h.example"},
+        )
+        return status == 200 and json.loads(body) == {"state": state}
+
+    _wait_for(seconds, is_reached)
+
+
+@then("the leader's log tells from its id which runs failed and where")
+def step_explain(context: Any) -> None:
+    job = context.path.rpartition("/")[2]
+    found: list[str] = []
+    for item in context.processes:
+        found += item.log_lines("event='job ended'", job, "FAILED")
+    assert len(found) == 1, found
+    runs = [
+        line
+        for item in context.processes
+        for line in item.log_lines("event='run ended'", job, "FAILED")
+    ]
+    # Three tries of the task that used up its attempts, at the least.
+    assert len(runs) >= 3, runs
+    assert all("worker='w" in line for line in runs)
+
+
+@when("a caller asks for a queue that does not exist")
+def step_no_queue(context: Any) -> None:
+    context.request = "feedc0de00000001"
+    status, _ = _call(
+        context.entry.host,
+        CALLER_PORT,
+        "GET",
+        "/nowhere/1",
+        None,
+        {"Host": "h.example", "Request-Id": context.request},
+    )
+    assert status == 404
+
+
+@when("a caller submits a job while no keeper runs")
+def step_no_keeper(context: Any) -> None:
+    for item in context.processes[:-1]:
+        item.process.kill()
+    context.request = "feedc0de00000002"
+    time.sleep(1.5)
+    status, _ = _call(
+        context.entry.host,
+        CALLER_PORT,
+        "POST",
+        "/a/00000000000000ff",
+        {"spec": "text", "steps": [{"count": 1, "cpu": 1, "mem_mb": 1}]},
+        {"Host": "h.example", "Request-Id": context.request},
+    )
+    assert status in (503, 504)
+
+
+@then("its process's log tells from the request's id that {reason}")
+def step_refused_line(context: Any, reason: str) -> None:
+    codes_by_reason = {
+        "no queue has that path": ("NO_SUCH_QUEUE",),
+        "no keeper could be reached": (
+            "KEEPER_UNAVAILABLE",
+            "PROPOSAL_UNKNOWN",
+        ),
+    }
+    lines = context.entry.log_lines("event='request refused'", context.request)
+    assert len(lines) == 1, lines
+    assert any(code in lines[0] for code in codes_by_reason[reason]), lines
+
+
 @when("the leading process is killed")
 def step_kill_leader(context: Any) -> None:
     leader = context.workers[0].leader
