--- a/bench/load_player.py
+++ b/bench/load_player.py
@@ -346,10 +346,10 @@
         self._applied()
         for command in self._dispatcher.expire(now, self._state):
             self._apply(command)
-        planned = self._dispatcher.plan(now, self._state)
+        planned = self._dispatcher.planner.plan(now, self._state)
         if planned is not None:
             self._apply(planned)
-            self._dispatcher.on_assigned(planned)
+            self._dispatcher.planner.on_assigned(planned)
         self._applied()
         for worker, report in reported:
             orders = self._dispatcher.orders(now, self._state, report, 1)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -399,18 +399,7 @@
 
 @then("its tasks are all done within {seconds:d} seconds")
 def step_done(context: Any, seconds: int) -> None:
-    def is_done() -> bool:
-        status, body = _call(
-            context.entry.host,
-            CALLER_PORT,
-            "GET",
-            context.path,
-            None,
-            {"Host": "h.example"},
-        )
-        return status == 200 and json.loads(body) == {"state": "done"}
-
-    _wait_for(seconds, is_done)
+    step_state(context, "done", seconds)
 
 
 @then("its state is {state} within {seconds:d} seconds")
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -305,7 +305,7 @@
             return
         self._commit_all(self.dispatcher.expire(now, self.state))
         self._commit_all(queues.due_occurrences(self.state, wall_ms))
-        planned = self.dispatcher.plan(now, self.state)
+        planned = self.dispatcher.planner.plan(now, self.state)
         if planned is not None:
             self._commit(planned)
 
@@ -422,7 +422,7 @@
         result = self.state.apply(entry.index, command)
         match command:
             case log_commands.AssignTasks():
-                self.dispatcher.on_assigned(command)
+                self.dispatcher.planner.on_assigned(command)
             case log_commands.SubmitJob():
                 self._result_by_index[entry.index] = result
                 self.notes.add(
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -1,4 +1,4 @@
-"""The leader's decisions about workers and runs.
+"""The leader's view of what workers do, and its orders to them.
 
 Pure: reports and the replicated state go in, commands for the log and orders
 for workers come out. A run is committed before a worker is told to start it,
@@ -13,14 +13,11 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import neighbours
 from fulmarrouter.cluster import notes
-from fulmarrouter.cluster import ordering
-from fulmarrouter.cluster import placement
+from fulmarrouter.cluster import planner as planner_lib
 from fulmarrouter.cluster import progress
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
-# Assignments in one log entry; bounds the time of one planning round.
-MAX_ASSIGNMENTS = 256
 # How soon workers with room report again, and those without.
 NEXT_REPORT_FREE_MS = 100
 NEXT_REPORT_FULL_MS = 400
@@ -33,11 +30,6 @@
 # absent: a report may have been under way since before.
 INHERITED_S = 3.0
 EXPIRY_CHECK_S = 0.1
-# Time between planning rounds, unless a step has been opened. Each looks at
-# every worker, and what ends meanwhile is planned for in one go.
-REPLAN_S = 0.04
-# Ages of jobs taken over are read off wall clocks, which jump.
-MAX_AGE_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,12 +55,9 @@
         self._notes = notebook or notes.Notebook()
         self.fleet = fleet_lib.Fleet()
         self.neighbours = neighbours.Neighbours()
+        self.planner = planner_lib.Planner(self.fleet, self.neighbours)
         self._office_since = 0.0
-        self._reserved: dict[model.TaskId, log_commands.Assignment] = {}
         self._expiry_due = 0.0
-        self._plan_due = 0.0
-        self._open_when_planned = 0
-        self._seen_at: dict[model.JobId, float] = {}
         self._failed_on: dict[model.JobId, set[model.WorkerId]] = {}
         self._inherited_until: dict[state_lib.WorkerKey, float] = {}
 
@@ -82,17 +71,11 @@
             state: The replicated state.
             wall_ms: Wall clock, to tell roughly how old jobs are.
         """
-        self._seen_at = {
-            job.id: now - min(MAX_AGE_S, max(0.0, age_ms / 1000))
-            for job in state.job_by_id.values()
-            if job.is_active
-            for age_ms in (wall_ms - job.submitted_ms,)
-        }
         self.fleet = fleet_lib.Fleet()
         self.neighbours = neighbours.Neighbours()
+        self.planner = planner_lib.Planner(self.fleet, self.neighbours)
+        self.planner.take_over(now, state, wall_ms)
         self._office_since = now
-        self._reserved = {}
-        self._plan_due = 0.0
         full = self._lease_end(now)
         self._inherited_until = dict.fromkeys(state.runs_by_worker, full)
 
@@ -291,11 +274,6 @@
                     if runs.get(task) == run
                 }
 
-    def on_assigned(self, command: log_commands.AssignTasks) -> None:
-        """Drops the reservations of assignments that have been applied."""
-        for item in command.assignments:
-            self._reserved.pop(item.task, None)
-
     def on_left(
         self, state: state_lib.State, request: requests.WorkerLeft
     ) -> list[log_commands.AnyCommand]:
@@ -344,183 +322,13 @@
                 del self.fleet.view_by_id[worker]
         return found
 
-    # Planning.
-
-    def plan(
-        self, now: float, state: state_lib.State
-    ) -> log_commands.AssignTasks | None:
-        """Assigns waiting tasks to workers."""
-        if not state.open_steps:
-            return None
-        is_new = len(state.open_steps) > self._open_when_planned
-        if not is_new and now < self._plan_due:
-            return None
-        self._plan_due = now + REPLAN_S
-        self._open_when_planned = len(state.open_steps)
-        slots_by_service: dict[model.ServiceName, list[placement.Slot]] = {}
-        assignments: list[log_commands.Assignment] = []
-        failed_needs: dict[tuple[str, bool, str], list[tuple[int, int]]] = {}
-        for key in self._order(now, state):
-            job = state.job_by_id[key.job]
-            service = job.queue.service
-            slots = slots_by_service.get(service)
-            if slots is None:
-                slots = self._slots(now, state, service)
-                slots_by_service[service] = slots
-            if not slots:
-                continue
-            spec = job.spec.steps[key.step]
-            shape = (spec.needs.millicores, spec.needs.memory_mb)
-            # What a filling task finds depends on its image too.
-            image = spec.image if spec.fills else ""
-            known = failed_needs.setdefault((service, spec.fills, image), [])
-            if any(
-                shape[0] >= item[0] and shape[1] >= item[1] for item in known
-            ):
-                continue
-            step = state.open_steps[key]
-            demand = self._demand(key, spec, step)
-            if not demand.indices:
-                continue
-            chosen = placement.place_step(
-                slots, demand, self.neighbours.effects
-            )
-            is_plain = not (
-                spec.gang
-                or spec.colocate
-                or spec.required_label
-                or spec.max_per_worker
-            )
-            if is_plain and len(chosen) < len(demand.indices):
-                known.append(shape)
-            assignments += self._assign(key, step, spec, chosen)
-            if len(assignments) >= MAX_ASSIGNMENTS:
-                break
-        if not assignments:
-            return None
-        return log_commands.AssignTasks(tuple(assignments))
-
-    def _assign(
-        self,
-        key: state_lib.StepKey,
-        step: state_lib.Step,
-        spec: model.StepSpec,
-        chosen: list[tuple[int, placement.Slot]],
-    ) -> list[log_commands.Assignment]:
-        run_of_all = 0
-        if spec.gang and chosen:
-            run_of_all = 1 + max(task.run for task in step.tasks)
-        found = []
-        for index, slot in chosen:
-            item = log_commands.Assignment(
-                model.task_id(key.job, key.occurrence, key.step, index),
-                run_of_all or step.tasks[index].run + 1,
-                slot.worker,
-                slot.incarnation,
-            )
-            self._reserved[item.task] = item
-            found.append(item)
-        return found
-
-    def _order(
-        self, now: float, state: state_lib.State
-    ) -> list[state_lib.StepKey]:
-        """Returns the open steps, the ones to be placed first in front."""
-        rank_by_job: dict[
-            model.JobId, tuple[int, ordering.Prospect, float, int]
-        ] = {}
-        for key in state.open_steps:
-            if key.job not in rank_by_job:
-                since = self._seen_at.setdefault(key.job, now)
-                rank_by_job[key.job] = ordering.rank(
-                    state.job_by_id[key.job], now - since
-                )
-        return sorted(
-            state.open_steps, key=lambda key: (rank_by_job[key.job], key)
-        )
-
     def _forget_jobs(self, state: state_lib.State) -> None:
         self.neighbours.forget_jobs(state)
-        for job_id in list(self._seen_at):
+        self.planner.forget_jobs(state)
+        for job_id in list(self._failed_on):
             job = state.job_by_id.get(job_id)
             if job is None or not job.is_active:
-                del self._seen_at[job_id]
-                self._failed_on.pop(job_id, None)
-
-    def _demand(
-        self,
-        key: state_lib.StepKey,
-        spec: model.StepSpec,
-        step: state_lib.Step,
-    ) -> placement.Demand:
-        indices: list[int] = []
-        avoided: dict[int, str] = {}
-        counts: dict[str, int] = {}
-        for index, task in enumerate(step.tasks):
-            if task.phase is model.TaskPhase.ASSIGNED:
-                counts[task.worker] = counts.get(task.worker, 0) + 1
-            elif task.phase is model.TaskPhase.WAITING:
-                name = model.task_id(key.job, key.occurrence, key.step, index)
-                reserved = self._reserved.get(name)
-                if reserved is not None:
-                    worker = reserved.worker
-                    counts[worker] = counts.get(worker, 0) + 1
-                    continue
-                indices.append(index)
-                if task.worker:
-                    avoided[index] = task.worker
-        if spec.gang and len(indices) < len(step.tasks) - step.done:
-            indices = []
-        return placement.Demand(spec, indices, avoided, counts)
-
-    def _slots(
-        self, now: float, state: state_lib.State, service: model.ServiceName
-    ) -> list[placement.Slot]:
-        reserved_by_worker: dict[model.WorkerId, list[model.TaskId]] = {}
-        for item in self._reserved.values():
-            reserved_by_worker.setdefault(item.worker, []).append(item.task)
-        slots: list[placement.Slot] = []
-        for view in self.fleet.view_by_id.values():
-            report = view.report
-            is_usable = (
-                report.service == service
-                and not report.draining
-                and now - view.heard_at <= fleet_lib.FRESH_S
-                and now >= view.refused_until
-                and not view.record.is_on_probation(now)
-            )
-            if not is_usable:
-                continue
-            if view.is_stale:
-                self.fleet.refresh_used(state, view)
-            slot = self._slot(view)
-            for task in reserved_by_worker.get(view.key.worker, ()):
-                found = state.find_task(task)
-                if found is not None:
-                    job, key, _, _ = found
-                    slot.take(job.spec.steps[key.step])
-            slots.append(slot)
-        return slots
-
-    def _slot(self, view: fleet_lib.WorkerView) -> placement.Slot:
-        free = view.free()
-        runs = len(view.running)
-        return placement.Slot(
-            worker=view.key.worker,
-            incarnation=view.key.incarnation,
-            labels=view.report.labels,
-            rack=view.report.rack,
-            capacity_millicores=view.report.capacity.millicores,
-            free_millicores=free.millicores,
-            free_memory_mb=free.memory_mb,
-            free_accelerators=free.accelerators,
-            idle_millicores=view.idle_millicores,
-            alone_by_image=self.neighbours.alone_by_image(view.key),
-            share_by_image=dict(view.share_by_image),
-            serving_by_image=dict(view.serving_by_image),
-            is_open_to_filling=not self.neighbours.has_paused(view.key),
-            max_new=max(0, 1 - runs) if view.record.on_trial else 1 << 30,
-        )
+                del self._failed_on[job_id]
 
     # Orders.
 
