Give workers on trial a task though they serve; doubt a suspicion of many

Cause: a worker on trial after probation was to run one task at a time, and the serving tasks on it counted, so it never got one and never came back. The bound on workers on probation stood as a constant without a use. Both scenarios failed before (on trial: 0 of 4 tasks; all on probation: nothing planned).

--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -73,6 +73,17 @@
       | 3     | blank after a loss of disks      | 0        |
       | 3     | one of them holding a log        | 0        |
 
+  Scenario Outline: A worker <state> is given <tasks> of 4 waiting tasks
+    Given a cluster of <workers> workers that serve, one of them <state>
+    When 4 tasks wait
+    Then that worker is given <tasks> of them
+
+    Examples:
+      | state                        | workers | tasks |
+      | on probation                 | 4       | 0     |
+      | on trial after probation     | 4       | 1     |
+      | on probation with all others | 4       | 1     |
+
   Scenario Outline: Callers on a <load> load get what they are owed
     When the load <load> is played
     Then urgent jobs earn at least <urgent> of what they are owed
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -25,6 +25,7 @@
 from fulmarrouter.cluster import dispatcher
 from fulmarrouter.cluster import disturbance
 from fulmarrouter.cluster import gateway as gateway_lib
+from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import membership
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
@@ -389,6 +390,93 @@
     assert len(context.founders) == count, context.founders
 
 
+# Workers under suspicion.
+
+SERVED = model.Queue(
+    model.QueueName("q"), "host", "/q/", model.ServiceName("s"), 3000
+)
+
+
+def _submit(context: Any, job: str, count: int, serving: bool) -> None:
+    step = model.StepSpec(
+        count,
+        commands.Resources(1000, 10, 0),
+        1000,
+        restarts=serving,
+        max_per_worker=1 if serving else 0,
+    )
+    spec = model.JobSpec("payload", (step,))
+    _commit(context, log_commands.SubmitJob(model.JobId(job), SERVED, spec, 0))
+
+
+def _commit(context: Any, command: log_commands.AnyCommand) -> None:
+    context.index += 1
+    context.state.apply(context.index, command)
+    context.dispatcher.on_applied(context.state, context.index)
+
+
+def _report_all(context: Any, now: float) -> None:
+    context.sequence += 1
+    for worker in context.names:
+        key = state_lib.WorkerKey(worker, 1)
+        runs = context.state.runs_by_worker.get(key, {})
+        report = requests.WorkerReport(
+            worker,
+            1,
+            context.sequence,
+            model.ServiceName("s"),
+            "",
+            "z",
+            worker,
+            "r",
+            (),
+            commands.Resources(8000, 1000, 0),
+            False,
+            0,
+            tuple(
+                requests.RunningTask(task, run, "", 100)
+                for task, run in runs.items()
+            ),
+            (),
+        )
+        context.dispatcher.on_report(now, context.state, report)
+
+
+@given("a cluster of {count:d} workers that serve, one of them {state}")
+def step_suspect(context: Any, count: int, state: str) -> None:
+    context.state = state_lib.State()
+    context.dispatcher = dispatcher.Dispatcher(dispatcher.DispatchSettings())
+    context.dispatcher.take_office(0.0, context.state)
+    context.index = 0
+    context.sequence = 0
+    context.names = [model.WorkerId(f"w{n}") for n in range(count)]
+    _report_all(context, 0.0)
+    _submit(context, "0a", count, serving=True)
+    planned = context.dispatcher.planner.plan(0.1, context.state)
+    _commit(context, planned)
+    context.dispatcher.planner.on_assigned(planned)
+    views = context.dispatcher.fleet.view_by_id
+    suspects = [model.WorkerId("w0")]
+    if state == "on probation with all others":
+        suspects = context.names
+    for worker in suspects:
+        views[worker].record.begin_probation(0.2)
+    context.now = 20.0 if state == "on trial after probation" else 1.0
+
+
+@when("{count:d} tasks wait")
+def step_wait(context: Any, count: int) -> None:
+    _report_all(context, context.now)
+    _submit(context, "0b", count, serving=False)
+    planned = context.dispatcher.planner.plan(context.now, context.state)
+    context.given = [item.worker for item in planned.assignments]
+
+
+@then("that worker is given {count:d} of them")
+def step_given_tasks(context: Any, count: int) -> None:
+    assert context.given.count("w0") == count, context.given
+
+
 # Loads.
 
 
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -38,6 +38,7 @@
         used: Room taken by assigned runs, when `is_stale` is false.
         stopping: Runs that it is told to stop though they are wanted.
         refused_until: It refused a start for want of room a moment ago.
+        ending_runs: Assigned runs that end by themselves.
         share_by_image: Share of the processors that assigned filling tasks
             ask for.
     """
@@ -56,6 +57,7 @@
     share_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
     serving_by_image: dict[str, int] = dataclasses.field(default_factory=dict)
     idle_millicores: int = 0
+    ending_runs: int = 0
     is_stale: bool = True
     refused_until: float = 0.0
     record: health.WorkerHealth = dataclasses.field(
@@ -98,6 +100,7 @@
         shares: dict[str, float] = {}
         capacity = max(1, view.report.capacity.millicores)
         idle_serving = 0
+        ending_runs = 0
         serving: dict[str, int] = {}
         for task, run in state.runs_by_worker.get(view.key, {}).items():
             if view.ended.get(task) == run:
@@ -107,6 +110,7 @@
                 continue
             job, key, _, _ = found
             spec = job.spec.steps[key.step]
+            ending_runs += not spec.restarts
             memory_mb += spec.needs.memory_mb
             accelerators += spec.needs.accelerators
             if spec.tail_target_ms:
@@ -119,6 +123,7 @@
             else:
                 millicores += spec.needs.millicores
         view.used = commands.Resources(millicores, memory_mb, accelerators)
+        view.ending_runs = ending_runs
         view.share_by_image = shares
         view.serving_by_image = serving
         view.idle_millicores = (
--- a/fulmarrouter/cluster/gateway.py
+++ b/fulmarrouter/cluster/gateway.py
@@ -97,9 +97,9 @@
     ) -> None:
         """Handles a reply of another process."""
         if call in self._locating:
-            asked = self._locating.pop(call)
+            del self._locating[call]
             if isinstance(reply, requests.Located):
-                self._on_located(now, asked, reply)
+                self._on_located(now, reply)
             return
         pending = self._pending.get(call)
         if pending is None:
@@ -226,10 +226,7 @@
         while len(self._locating) > 64:
             del self._locating[next(iter(self._locating))]
 
-    def _on_located(
-        self, now: float, asked: str, reply: requests.Located
-    ) -> None:
-        del asked
+    def _on_located(self, now: float, reply: requests.Located) -> None:
         if reply.members:
             self.members = reply.members
         if reply.leader and not self.leader:
--- a/fulmarrouter/cluster/model.py
+++ b/fulmarrouter/cluster/model.py
@@ -54,15 +54,6 @@
     fills: bool = False
     max_unavailable: int = -1
 
-    @property
-    def room(self) -> commands.Resources:
-        """What a task takes of a worker's capacity."""
-        if not self.fills:
-            return self.needs
-        return commands.Resources(
-            0, self.needs.memory_mb, self.needs.accelerators
-        )
-
 
 class JobSpec(msgspec.Struct, frozen=True, array_like=True):
     """What a caller submits.
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -15,6 +15,7 @@
 
 # Share of its demand that a filling task must find unused on a worker.
 MIN_FILL_SHARE = 0.5
+UNLIMITED = 1 << 30  # More tasks than any worker holds.
 # Largest part of a serving task's headroom that one filling task may take.
 # A task that takes more keeps out several that take little.
 MAX_LOSS = 0.2
@@ -52,7 +53,7 @@
     share_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
     serving_by_image: dict[str, int] = dataclasses.field(default_factory=dict)
     is_open_to_filling: bool = True
-    max_new: int = 1 << 30
+    max_new: int = UNLIMITED
 
     def fits(self, needs: commands.Resources, fills: bool) -> bool:
         """Whether there is room for one more task."""
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -5,6 +5,7 @@
 """
 
 from fulmarrouter.cluster import fleet as fleet_lib
+from fulmarrouter.cluster import health
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import neighbours
@@ -194,17 +195,7 @@
         for item in self._reserved.values():
             reserved_by_worker.setdefault(item.worker, []).append(item.task)
         slots: list[placement.Slot] = []
-        for view in self._fleet.view_by_id.values():
-            report = view.report
-            is_usable = (
-                report.service == service
-                and not report.draining
-                and now - view.heard_at <= fleet_lib.FRESH_S
-                and now >= view.refused_until
-                and not view.record.is_on_probation(now)
-            )
-            if not is_usable:
-                continue
+        for view in self._usable_workers(now, service):
             if view.is_stale:
                 self._fleet.refresh_used(state, view)
             slot = self._slot(view)
@@ -216,9 +207,28 @@
             slots.append(slot)
         return slots
 
+    def _usable_workers(
+        self, now: float, service: model.ServiceName
+    ) -> list[fleet_lib.WorkerView]:
+        """Returns a service's workers that may be given new work."""
+        fresh = [
+            view
+            for view in self._fleet.view_by_id.values()
+            if view.report.service == service
+            and not view.report.draining
+            and now - view.heard_at <= fleet_lib.FRESH_S
+        ]
+        trusted = [
+            view for view in fresh if not view.record.is_on_probation(now)
+        ]
+        suspects = len(fresh) - len(trusted)
+        # So many at once speak of a fault that the workers don't have.
+        if suspects > health.MAX_SHARE_ON_PROBATION * len(fresh):
+            trusted = fresh
+        return [view for view in trusted if now >= view.refused_until]
+
     def _slot(self, view: fleet_lib.WorkerView) -> placement.Slot:
         free = view.free()
-        runs = len(view.running)
         return placement.Slot(
             worker=view.key.worker,
             incarnation=view.key.incarnation,
@@ -233,5 +243,9 @@
             share_by_image=dict(view.share_by_image),
             serving_by_image=dict(view.serving_by_image),
             is_open_to_filling=not self._neighbours.has_paused(view.key),
-            max_new=max(0, 1 - runs) if view.record.on_trial else 1 << 30,
+            max_new=(
+                max(0, 1 - view.ending_runs)
+                if view.record.on_trial
+                else placement.UNLIMITED
+            ),
         )
