Answer what is in progress before a drained process ends

From 0.5 s before the end all requests in progress are answered with what is known, and new ones are refused with a time to come back.

--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -47,6 +47,8 @@
       | knows no leader    | no leader is found                     | KEEPER_UNAVAILABLE |
       | knows a leader     | the leader never replies               | PROPOSAL_UNKNOWN   |
       | knows a leader     | the leader says that it does not lead  | KEEPER_UNAVAILABLE |
+      | knows a leader     | the process ends                       | PROPOSAL_UNKNOWN   |
+      | knows no leader    | the process ends                       | KEEPER_UNAVAILABLE |
       | knows a leader     | the leader accepts it                  | accepted           |
       | knows a leader     | the leader fails over and accepts it   | accepted           |
 
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -255,6 +255,9 @@
             _, call = _last_submission(context)
             refused = requests.Refused(codes.Code.NOT_LEADER)
             gateway.on_reply(0.1, call, refused)
+        case "the process ends":
+            gateway.give_up_all()
+            assert context.replies
         case "the leader accepts it":
             _, call = _last_submission(context)
             gateway.on_reply(0.1, call, requests.Accepted())
--- a/fulmarrouter/cluster/gateway.py
+++ b/fulmarrouter/cluster/gateway.py
@@ -166,6 +166,12 @@
             self._locate_due = now + LOCATE_INTERVAL_S
             self._locate()
 
+    def give_up_all(self) -> None:
+        """Answers every request in progress, since the process will end."""
+        for call, pending in list(self._pending.items()):
+            del self._pending[call]
+            pending.on_reply(self._given_up(pending))
+
     def _given_up(self, pending: _Pending) -> requests.Refused:
         if pending.uncertain_tries:
             return requests.Refused(
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -57,6 +57,9 @@
 DRAIN_NOTICE_S = 2.5
 # Time kept free before the end of the grace period.
 DRAIN_MARGIN_S = 1.0
+# Time before the end from which requests are answered at once, so that none
+# is cut off because the leader is slow to answer.
+LAST_ANSWERS_S = 0.5
 LOCAL = ids.ConnectionId(0)
 FOUNDING_TERM = 1
 
@@ -134,6 +137,7 @@
         self._held_back: list[consensus.Outbound] = []
         self._local_answers: list[controller_lib.Answered] = []
         self._must_stop = False
+        self._is_ending = False
         self._drain_until = float("inf")
         self._drain_from = 0.0
 
@@ -212,6 +216,14 @@
         on_reply: gateway_lib.OnReply,
     ) -> None:
         """Takes a request to the leader; calls back once on this thread."""
+        if self._is_ending:
+            on_reply(
+                requests.Refused(
+                    codes.Code.DRAINING,
+                    retry_after_ms=gateway_lib.RETRY_AFTER_MS,
+                )
+            )
+            return
         self.gateway.ask(time.monotonic(), request, timeout_s, on_reply)
 
     def send_request(
@@ -325,6 +337,10 @@
                 self.controller.replica.transfer_leadership()
         if now - self._drain_from < DRAIN_NOTICE_S:
             return False
+        left = self._drain_from + self.settings.stop_grace_s - now
+        if left <= DRAIN_MARGIN_S + LAST_ANSWERS_S and not self._is_ending:
+            self._is_ending = True
+            self.gateway.give_up_all()
         if now - self._drain_from >= (
             self.settings.stop_grace_s - DRAIN_MARGIN_S
         ):
