Decide once whether a run is wanted; give a report's field the product's name

The same check stood in the orders and in the search for absent runs, and the report carried a name of the users' platform. No behaviour changes: 40 histories and the platform feature pass as before.

--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -354,11 +354,7 @@
                 continue
             job, key, _, task = found
             spec = job.spec.steps[key.step]
-            is_wanted = (
-                job.is_active
-                and task.phase is model.TaskPhase.ASSIGNED
-                and task.run == run
-            )
+            is_wanted = _is_wanted(job, task, run)
             if view.runs(task_id, run):
                 if not is_wanted or view.stopping.get(task_id) == run:
                     stops.append(requests.StopOrder(task_id, run))
@@ -407,11 +403,7 @@
             if found is None:
                 continue
             job, _, _, task = found
-            is_wanted = (
-                job.is_active
-                and task.phase is model.TaskPhase.ASSIGNED
-                and task.run == run
-            )
+            is_wanted = _is_wanted(job, task, run)
             if not is_wanted or view.report.draining:
                 ends.append(
                     log_commands.RunEnd(
@@ -433,3 +425,12 @@
         if free > view.report.capacity.millicores * FULL_SHARE:
             return NEXT_REPORT_FREE_MS
         return NEXT_REPORT_FULL_MS
+
+
+def _is_wanted(job: state_lib.Job, task: state_lib.Task, run: int) -> bool:
+    """Whether a run is the task's current one and its job still needs it."""
+    return (
+        job.is_active
+        and task.phase is model.TaskPhase.ASSIGNED
+        and task.run == run
+    )
--- a/fulmarrouter/cluster/requests.py
+++ b/fulmarrouter/cluster/requests.py
@@ -82,6 +82,7 @@
         sequence: Rises with each report of an incarnation.
         machine: The VM that the worker lives on.
         rack: Failure domain within a zone.
+        leaves_in_ms: Least time that a draining worker still has.
     """
 
     worker: model.WorkerId
@@ -95,7 +96,7 @@
     labels: tuple[str, ...]
     capacity: commands.Resources
     draining: bool
-    drain_remaining_ms: int
+    leaves_in_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
 
