Give filling tasks the pace that keeps serving tasks' headroom; tell it once

Cause: a worker follows a pace 100 ms after it was last told one. Paces were repeated with each report, so on workers that report every 100 ms they were put off again and again (seen in what workers report: 1.3 s at full use under a pace of 63). Ruled out: unknown effects (fit of the reports leaves only their noise of 9 %), contention.

Paces are told once and repeated after 0.6 s. The pause of one task is replaced by the largest pace that keeps each serving task's headroom, tasks that disturb little first. What a leader has learned of disturbance is kept in the log for the next one. Ordinary tasks take the smallest gap that is large enough. A task with one attempt left keeps away from workers on which tasks have just failed. The leader logs what the workers hold and what waits.

The load player's readings are noisy now, its effects as strong as the fit shows, its workers follow paces late.

--- a/bench/load_player.py
+++ b/bench/load_player.py
@@ -25,10 +25,15 @@
 TAIL_ALONE_MS = 25.0
 REPORT_AFTER_END_S = 0.05
 READING_S = 0.5
+PACE_DELAY_S = 0.1  # From the last order on pace until it is followed.
+READING_NOISE = 0.09  # Relative, of each reported tail.
+RESTORE_MS = 600.0  # Time that a run needs to resume from a checkpoint.
+ESTIMATE_SIGMA = 0.5  # Of the logarithm of estimated over true durations.
+SWING_PERIODS_S = (10.0, 20.0)
 LATE_FACTOR = 3.0
 WARM_UP_FROM_S = -7.0
 SERVING_FROM_S = -6.0
-HEAVY_EFFECT = (1.1, 1.8)
+HEAVY_EFFECT = (1.2, 3.0)
 LIGHT_EFFECT = (0.0, 0.4)
 
 
@@ -67,6 +72,8 @@
     work_ms: float
     done_ms: float
     pace: int = 100
+    ordered_pace: int = 100
+    paced_from: float = 0.0
     load: float = 0.0
     phase: float = 0.0
     used: float = 0.0
@@ -152,6 +159,7 @@
         self._filling_images = [f"f{n}" for n in range(9)]
         self._effects = self._draw_effects()
         self._phase_by_job: dict[model.JobId, float] = {}
+        self._swing_s = SWING_PERIODS_S[seed % len(SWING_PERIODS_S)]
         self._workers = [self._worker(n) for n in range(scenario.workers)]
         self._stopped = 0
         self._started = 0
@@ -258,13 +266,15 @@
     def _filling_steps(
         self,
     ) -> tuple[tuple[model.StepSpec, ...], float, float, int, int]:
+        work_ms = self._lognormal(2200, 0.5, 5400)
+        off = self._rng.lognormvariate(0.0, ESTIMATE_SIGMA)
         steps = tuple(
             model.StepSpec(
                 count=max(1, round(self._lognormal(8, 0.6, 32))),
                 needs=commands.Resources(
                     int(self._lognormal(7000, 0.3, 14_000)), 13_000, 0
                 ),
-                estimated_ms=2000,
+                estimated_ms=int(work_ms * off),
                 after=(number - 1,) if number else (),
                 checkpoints=True,
                 image=self._rng.choice(self._filling_images),
@@ -272,7 +282,7 @@
             )
             for number in range(max(1, round(self._lognormal(2.0, 0.4, 5))))
         )
-        return steps, self._lognormal(2200, 0.5, 5400), 2.0, 1000, 2
+        return steps, work_ms, 2.0, 1000, 2
 
     def _serving_steps(
         self,
@@ -383,13 +393,13 @@
     def _running_of(self, worker: _Worker) -> Iterator[requests.RunningTask]:
         for run in worker.runs.values():
             percent = 100
-            usage = int(run.tail)
+            noise = self._rng.gauss(1.0, READING_NOISE)
+            usage = int(run.tail * max(0.5, noise))
             if not run.spec.restarts:
-                percent = int(100 * run.done_ms / run.work_ms)
+                percent = max(0, int(100 * run.done_ms / run.work_ms))
                 usage = int(run.used)
-            yield requests.RunningTask(
-                run.task, run.run, str(int(run.done_ms)), percent, usage
-            )
+            saved = str(int(max(0.0, run.done_ms)))
+            yield requests.RunningTask(run.task, run.run, saved, percent, usage)
 
     def _obey(
         self, now: float, worker: _Worker, orders: requests.Orders
@@ -403,8 +413,10 @@
                 self._stopped += 1
                 self._end(worker, run, model.Outcome.STOPPED)
         for pace in orders.paces:
-            if pace.task in worker.runs:
-                worker.runs[pace.task].pace = pace.percent
+            paced = worker.runs.get(pace.task)
+            if paced is not None:
+                paced.ordered_pace = pace.percent
+                paced.paced_from = now + PACE_DELAY_S
         for start in orders.starts:
             if start.task not in worker.runs:
                 self._start(worker, start)
@@ -426,7 +438,7 @@
             job.spec.steps[key.step],
             job.id,
             self._work_ms[start.task],
-            done,
+            done - (RESTORE_MS if done else 0.0),
             tail=TAIL_ALONE_MS,
         )
 
@@ -435,7 +447,7 @@
         worker.ends += 1
         checkpoint = ""
         if run.spec.checkpoints and outcome is model.Outcome.STOPPED:
-            checkpoint = str(int(run.done_ms))
+            checkpoint = str(int(max(0.0, run.done_ms)))
         elif outcome is not model.Outcome.DONE:
             self._wasted += run.done_ms * run.spec.needs.millicores / 1e6
         worker.ended.append(
@@ -457,9 +469,12 @@
         idle = float(capacity)
         filling = []
         for run in worker.runs.values():
+            if now >= run.paced_from:
+                run.pace = run.ordered_pace
             if run.spec.restarts:
                 swing = math.sin(
-                    2 * math.pi * now / 20 + self._phase_by_job[run.job]
+                    2 * math.pi * now / self._swing_s
+                    + self._phase_by_job[run.job]
                 )
                 run.load = 0.48 + 0.24 * swing
                 idle -= run.spec.needs.millicores * run.load
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -304,6 +304,8 @@
         if not self.state.is_open:
             return
         self._commit_all(self.dispatcher.expire(now, self.state))
+        self._commit_all(self.dispatcher.effects_to_keep(now))
+        self.dispatcher.note_load(now, self.state)
         self._commit_all(queues.due_occurrences(self.state, wall_ms))
         planned = self.dispatcher.planner.plan(now, self.state)
         if planned is not None:
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from fulmarrouter.cluster import fleet as fleet_lib
+from fulmarrouter.cluster import load_summary
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import neighbours
@@ -30,6 +31,9 @@
 # absent: a report may have been under way since before.
 INHERITED_S = 3.0
 EXPIRY_CHECK_S = 0.1
+# How often what has been learned is kept for later leaders. Half of it is
+# learned in a few seconds.
+KEEP_EFFECTS_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,6 +62,8 @@
         self.planner = planner_lib.Planner(self.fleet, self.neighbours)
         self._office_since = 0.0
         self._expiry_due = 0.0
+        self._summary_due = 0.0
+        self._keep_due = 0.0
         self._failed_on: dict[model.JobId, set[model.WorkerId]] = {}
         self._inherited_until: dict[state_lib.WorkerKey, float] = {}
 
@@ -72,10 +78,11 @@
             wall_ms: Wall clock, to tell roughly how old jobs are.
         """
         self.fleet = fleet_lib.Fleet()
-        self.neighbours = neighbours.Neighbours()
+        self.neighbours = neighbours.Neighbours(state.effect_by_pair.values())
         self.planner = planner_lib.Planner(self.fleet, self.neighbours)
         self.planner.take_over(now, state, wall_ms)
         self._office_since = now
+        self._keep_due = now + KEEP_EFFECTS_S
         full = self._lease_end(now)
         self._inherited_until = dict.fromkeys(state.runs_by_worker, full)
 
@@ -226,7 +233,7 @@
                 continue
             job, key, _, _ = found
             spec = job.spec.steps[key.step]
-            if self.neighbours.pace_of(now, view.key, task_id) == 0:
+            if self.neighbours.is_paused(view.key, task_id):
                 view.progress.excuse(now, task_id)
                 continue
             still_s = view.progress.note(now, task_id, item.run, item.percent)
@@ -322,6 +329,22 @@
                 del self.fleet.view_by_id[worker]
         return found
 
+    def effects_to_keep(self, now: float) -> list[log_commands.AnyCommand]:
+        """Returns what is to be kept of what has been learned."""
+        if now < self._keep_due:
+            return []
+        self._keep_due = now + KEEP_EFFECTS_S
+        changed = self.neighbours.effects.take_changes()
+        return [log_commands.KeepEffects(changed)] if changed else []
+
+    def note_load(self, now: float, state: state_lib.State) -> None:
+        """Notes now and then what the workers hold and what waits."""
+        if now < self._summary_due:
+            return
+        self._summary_due = now + load_summary.INTERVAL_S
+        fields = load_summary.describe(state, self.fleet, self.neighbours)
+        self._notes.add("load", **fields)
+
     def _forget_jobs(self, state: state_lib.State) -> None:
         self.neighbours.forget_jobs(state)
         self.planner.forget_jobs(state)
@@ -359,7 +382,9 @@
                 if not is_wanted or view.stopping.get(task_id) == run:
                     stops.append(requests.StopOrder(task_id, run))
                 elif spec.fills:
-                    pace = self.neighbours.pace_of(now, view.key, task_id)
+                    pace = self.neighbours.next_pace_order(
+                        now, view.key, task_id
+                    )
                     if pace is not None:
                         paces.append(requests.PaceOrder(task_id, run, pace))
                 continue
--- a/fulmarrouter/cluster/disturbance.py
+++ b/fulmarrouter/cluster/disturbance.py
@@ -12,9 +12,11 @@
 disturbs show what the others would have alone.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import statistics
 
+from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 
 # Effect assumed of an unknown pair: that of a mild one.
@@ -29,6 +31,13 @@
 MAX_HEADROOM = 20.0
 # Processor share below which a neighbour teaches nothing.
 MIN_SHARE = 0.005
+# Change of an effect that is worth keeping for later leaders, as a part of it
+# and at least.
+KEEP_CHANGE_SHARE = 0.15
+KEEP_CHANGE_LEAST = 0.3
+# A new leader trusts what an earlier one learned as if it rested on at most
+# this many readings, since effects change.
+MAX_INHERITED_OBSERVATIONS = 20
 
 Shares = dict[str, float]
 
@@ -37,6 +46,7 @@
 class _Effect:
     value: float = PRIOR_EFFECT
     observations: int = 0
+    kept: float = PRIOR_EFFECT
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,12 +66,23 @@
 class DisturbanceModel:
     """Effects by pair of images, and each serving job's headroom now."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, inherited: Iterable[log_commands.LearnedEffect] = ()
+    ) -> None:
         self._effect_by_pair: dict[tuple[str, str], _Effect] = {}
+        self.inherit(inherited)
         self._readings_by_job: dict[
             model.JobId, dict[model.TaskId, _Reading]
         ] = {}
 
+    def inherit(self, inherited: Iterable[log_commands.LearnedEffect]) -> None:
+        """Takes over what has been learned elsewhere."""
+        for item in inherited:
+            trusted = min(item.observations, MAX_INHERITED_OBSERVATIONS)
+            self._effect_by_pair[item.filling, item.serving] = _Effect(
+                item.lost, trusted, item.lost
+            )
+
     def effect(self, filling: str, serving: str) -> float:
         """Returns the headroom lost for a whole worker of the filling image."""
         known = self._effect_by_pair.get((filling, serving))
@@ -128,6 +149,21 @@
             return statistics.median(item.alone for item in fresh)
         return None
 
+    def take_changes(self) -> tuple[log_commands.LearnedEffect, ...]:
+        """Returns the effects that have changed since they were last taken."""
+        changed = []
+        for (filling, serving), known in self._effect_by_pair.items():
+            least = max(KEEP_CHANGE_LEAST, KEEP_CHANGE_SHARE * known.kept)
+            if abs(known.value - known.kept) < least:
+                continue
+            known.kept = known.value
+            changed.append(
+                log_commands.LearnedEffect(
+                    filling, serving, known.value, known.observations
+                )
+            )
+        return tuple(changed)
+
     def forget_job(self, job: model.JobId) -> None:
         """Drops the readings of a job that has ended."""
         self._readings_by_job.pop(job, None)
--- a/fulmarrouter/cluster/log_commands.py
+++ b/fulmarrouter/cluster/log_commands.py
@@ -91,6 +91,26 @@
     jobs: tuple[model.JobId, ...]
 
 
+class LearnedEffect(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """How much a filling image disturbs a serving one.
+
+    Attributes:
+        lost: Headroom lost for each whole worker that the image fills.
+        observations: How many readings that rests on.
+    """
+
+    filling: str
+    serving: str
+    lost: float
+    observations: int
+
+
+class KeepEffects(Command, frozen=True):
+    """Keeps what the leader has learned, for the leaders after it."""
+
+    effects: tuple[LearnedEffect, ...]
+
+
 AnyCommand = (
     LeaderElected
     | OpenForService
@@ -101,6 +121,7 @@
     | AssignTasks
     | EndRuns
     | ForgetJobs
+    | KeepEffects
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/fulmarrouter/cluster/neighbours.py
+++ b/fulmarrouter/cluster/neighbours.py
@@ -1,10 +1,12 @@
 """Watches the serving tasks of each worker and acts on what fills beside them."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 
 from fulmarrouter.cluster import disturbance
 from fulmarrouter.cluster import fleet as fleet_lib
+from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import pacing
 from fulmarrouter.cluster import requests
@@ -12,9 +14,15 @@
 
 # Readings of one worker are averages, so closer ones teach nothing new.
 LEARN_INTERVAL_S = 0.2
-# How long a resumed task is told of its full pace, in case an answer is lost.
-REPEAT_RESUME_S = 1.5
-FULL_PACE = 100
+PACE_STEP = 10  # Smaller changes of a pace, in percent, are not sent.
+# A worker follows a pace some time after it was last told one, so a repetition
+# with each report would put it off for ever. It is repeated after this time,
+# in case an answer was lost.
+REPEAT_PACE_S = 0.6
+# Least time between two changes of a pace: a reading shows the first by then.
+CHANGE_PACE_S = 0.25
+# How long a task at full pace is told of it.
+REPEAT_FULL_PACE_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,32 +34,54 @@
     spec: model.StepSpec
 
 
+@dataclasses.dataclass
+class _Pace:
+    """Pace of one run of a filling task.
+
+    Attributes:
+        percent: What it was last given.
+        changed_at: When that changed.
+        told_at: When the worker was last told.
+    """
+
+    run: int
+    percent: int
+    changed_at: float
+    told_at: float = float("-inf")
+
+
 @dataclasses.dataclass
 class _Watch:
     """State of one worker's filling tasks.
 
     Attributes:
-        paused_since: Paused tasks, with the run and the time of the pause.
-        resumed_at: Tasks resumed a moment ago.
+        pace_by_task: Tasks that have been slowed at some time.
         alone_by_image: Least undisturbed headroom of its serving tasks.
     """
 
-    paused_since: dict[model.TaskId, tuple[int, float]] = dataclasses.field(
-        default_factory=dict
-    )
-    resumed_at: dict[model.TaskId, float] = dataclasses.field(
+    pace_by_task: dict[model.TaskId, _Pace] = dataclasses.field(
         default_factory=dict
     )
     alone_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
-    changed_at: float = float("-inf")
     learned_at: float = float("-inf")
 
+    def percent(self, task: model.TaskId) -> int:
+        """Returns the pace that a task was last given."""
+        known = self.pace_by_task.get(task)
+        return known.percent if known is not None else pacing.FULL_PACE
+
 
 class Neighbours:
-    """Learns from reports and decides which filling tasks go on."""
+    """Learns from reports and decides which filling tasks go on.
+
+    Args:
+        inherited: What earlier leaders have learned.
+    """
 
-    def __init__(self) -> None:
-        self.effects = disturbance.DisturbanceModel()
+    def __init__(
+        self, inherited: Iterable[log_commands.LearnedEffect] = ()
+    ) -> None:
+        self.effects = disturbance.DisturbanceModel(inherited)
         self._watch_by_worker: dict[state_lib.WorkerKey, _Watch] = {}
 
     def on_report(
@@ -61,9 +91,9 @@
         watch = self._watch_by_worker.setdefault(view.key, _Watch())
         rows = list(_rows(state, view))
         for task in [
-            task for task in watch.paused_since if task not in view.running
+            task for task in watch.pace_by_task if task not in view.running
         ]:
-            del watch.paused_since[task]
+            del watch.pace_by_task[task]
         if now - watch.learned_at >= LEARN_INTERVAL_S:
             watch.learned_at = now
             self._learn(now, view, rows)
@@ -81,24 +111,54 @@
             if job is None or not job.is_active:
                 self.effects.forget_job(job_id)
 
-    def pace_of(
+    def is_paused(self, key: state_lib.WorkerKey, task: model.TaskId) -> bool:
+        """Whether a filling task has been given no pace at all."""
+        watch = self._watch_by_worker.get(key)
+        return watch is not None and not watch.percent(task)
+
+    def next_pace_order(
         self, now: float, key: state_lib.WorkerKey, task: model.TaskId
     ) -> int | None:
-        """Returns the pace to tell a worker for a filling task, if any."""
+        """Returns the pace to tell a worker now for a filling task, if any."""
         watch = self._watch_by_worker.get(key)
-        if watch is None:
+        known = watch.pace_by_task.get(task) if watch is not None else None
+        if known is None:
             return None
-        if task in watch.paused_since:
-            return 0
-        resumed = watch.resumed_at.get(task)
-        if resumed is not None and now - resumed < REPEAT_RESUME_S:
-            return FULL_PACE
-        return None
+        is_new = known.told_at < known.changed_at
+        if not is_new and now - known.told_at < REPEAT_PACE_S:
+            return None
+        is_old = now - known.changed_at >= REPEAT_FULL_PACE_S
+        if known.percent == pacing.FULL_PACE and is_old and not is_new:
+            return None
+        known.told_at = now
+        return known.percent
 
-    def has_paused(self, key: state_lib.WorkerKey) -> bool:
-        """Whether a worker has paused tasks."""
+    def paused_count(self, key: state_lib.WorkerKey) -> int:
+        """Returns how many tasks are paused on a worker."""
         watch = self._watch_by_worker.get(key)
-        return watch is not None and bool(watch.paused_since)
+        if watch is None:
+            return 0
+        return sum(not item.percent for item in watch.pace_by_task.values())
+
+    def held_back(
+        self, state: state_lib.State, view: fleet_lib.WorkerView
+    ) -> dict[str, int]:
+        """Returns the millicores that slowed tasks leave unused, by image."""
+        watch = self._watch_by_worker.get(view.key)
+        found: dict[str, int] = {}
+        if watch is None:
+            return found
+        for task, pace in watch.pace_by_task.items():
+            known = state.find_task(task)
+            if known is None or pace.percent == pacing.FULL_PACE:
+                continue
+            job, key, _, _ = known
+            spec = job.spec.steps[key.step]
+            unused = spec.needs.millicores * (pacing.FULL_PACE - pace.percent)
+            found[spec.image] = (
+                found.get(spec.image, 0) + unused // pacing.FULL_PACE
+            )
+        return found
 
     def alone_by_image(self, key: state_lib.WorkerKey) -> dict[str, float]:
         """Returns the undisturbed headroom of a worker's serving tasks.
@@ -150,11 +210,7 @@
         rows: list[_Row],
     ) -> None:
         capacity = max(1, view.report.capacity.millicores)
-        filling = [
-            self._filling(now, watch, row, capacity)
-            for row in rows
-            if row.spec.fills
-        ]
+        filling = [_filling(row, capacity) for row in rows if row.spec.fills]
         if not filling:
             return
         serving = [
@@ -169,38 +225,47 @@
             for row in rows
             if row.spec.tail_target_ms and row.reported.usage > 0
         ]
-        step = pacing.decide(
-            self.effects, serving, filling, now - watch.changed_at
-        )
-        if step is None:
-            return
-        action, task = step
-        watch.changed_at = now
-        run = view.running[task].run
-        match action:
-            case pacing.Action.PAUSE:
-                watch.paused_since[task] = (run, now)
-            case pacing.Action.RESUME:
-                watch.paused_since.pop(task, None)
-                watch.resumed_at[task] = now
-            case pacing.Action.MOVE:
+        wanted = pacing.paces(self.effects, serving, filling)
+        can_move = {row.reported.task: _can_move(row) for row in rows}
+        for task, percent in wanted.items():
+            run = view.running[task].run
+            known = watch.pace_by_task.get(task)
+            if known is None or known.run != run:
+                if percent == pacing.FULL_PACE:
+                    continue
+                known = _Pace(run, pacing.FULL_PACE, now - CHANGE_PACE_S)
+                watch.pace_by_task[task] = known
+            is_settled = now - known.changed_at >= CHANGE_PACE_S
+            if is_settled and _differs(known.percent, percent):
+                known.percent = percent
+                known.changed_at = now
+            is_stuck = now - known.changed_at >= pacing.MOVE_AFTER_S
+            if not known.percent and is_stuck and can_move[task]:
                 view.stopping[task] = run
 
-    def _filling(
-        self, now: float, watch: _Watch, row: _Row, capacity: int
-    ) -> pacing.Filling:
-        paused = watch.paused_since.get(row.reported.task)
-        can_move = (
-            row.spec.checkpoints
-            or row.reported.percent < pacing.MOVE_UNSAVED_BELOW_PERCENT
-        )
-        return pacing.Filling(
-            row.reported.task,
-            row.spec.image,
-            row.spec.needs.millicores / capacity,
-            now - paused[1] if paused is not None else None,
-            can_move,
-        )
+
+def _differs(held: int, wanted: int) -> bool:
+    """Whether a pace differs by so much that the worker is to be told."""
+    if wanted in (0, pacing.FULL_PACE):
+        return held != wanted
+    return abs(held - wanted) >= PACE_STEP
+
+
+def _filling(row: _Row, capacity: int) -> pacing.Filling:
+    return pacing.Filling(
+        row.reported.task,
+        row.spec.image,
+        row.spec.needs.millicores / capacity,
+        max(0, row.reported.usage) / capacity,
+    )
+
+
+def _can_move(row: _Row) -> bool:
+    """Whether moving a filling task loses little work."""
+    return (
+        row.spec.checkpoints
+        or row.reported.percent < pacing.MOVE_UNSAVED_BELOW_PERCENT
+    )
 
 
 def _rows(state: state_lib.State, view: fleet_lib.WorkerView) -> Iterator[_Row]:
--- a/fulmarrouter/cluster/pacing.py
+++ b/fulmarrouter/cluster/pacing.py
@@ -1,38 +1,34 @@
-"""Pauses, resumes and moves filling tasks that disturb serving ones.
+"""Slows, pauses and moves filling tasks that disturb serving ones.
 
 Load it answers: waves of filling tasks beside serving tasks whose own load
-swings. The first step is a pause of the task that takes the most headroom;
-it resumes when there is room again, and is moved when there is none for long.
+swings. Each filling task gets the largest pace at which no serving task is
+expected to lose the headroom that it needs. Tasks that disturb little come
+first, so that one that disturbs much doesn't hold up the others; it is paused
+instead, and moved where it finds no room for long.
 """
 
 from collections.abc import Sequence
 import dataclasses
-import enum
 
 from fulmarrouter.cluster import disturbance
 from fulmarrouter.cluster import model
 
-# Headroom of a serving task under which a neighbour is paused: a little
-# above the target, since readings lag by half a second.
-PAUSE_BELOW = 1.12
+# Headroom that a serving task is to keep: a little above the target, since
+# readings lag by half a second.
+KEEP_HEADROOM = 1.15
 # Headroom that must remain for every serving task where a filling task is
-# placed or resumed. The gap to PAUSE_BELOW keeps it from being paused again.
-PLACE_ABOVE = 1.3
-# Time between two pauses on a worker: until the readings show the first.
-PAUSE_INTERVAL_S = 0.35
-RESUME_INTERVAL_S = 0.5
+# placed. The gap to KEEP_HEADROOM keeps it from being slowed at once.
+PLACE_ABOVE = 1.2
+FULL_PACE = 100
+# Paces below this are not worth the memory that the task holds.
+LEAST_PACE = 15
 # Pause after which a task is moved to another worker.
-MOVE_AFTER_S = 1.2
+MOVE_AFTER_S = 0.6
 # Part of its work up to which a task that saves nothing is moved.
 MOVE_UNSAVED_BELOW_PERCENT = 50
-
-
-class Action(enum.Enum):
-    """What is done to a filling task."""
-
-    PAUSE = "pause"
-    RESUME = "resume"
-    MOVE = "move"
+# Weight of a serving task's own reading against those of its job's other
+# tasks, when estimating what it would have alone.
+OWN_WEIGHT = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,7 +37,8 @@
 
     Attributes:
         headroom: Target over tail, as measured.
-        alone: What it would be with nothing beside; None if not known.
+        alone: What its job's tasks have with nothing beside; None if not
+            known.
     """
 
     job: model.JobId
@@ -55,65 +52,70 @@
     """A filling task on the same worker.
 
     Attributes:
-        share: Part of the worker's processors that it uses when not paused.
-        paused_s: How long it has been paused; None if it isn't.
-        can_move: Whether moving it loses little work.
+        share: Part of the worker's processors that it uses at full pace.
+        used: Part of them that it used while the tails were measured.
     """
 
     task: model.TaskId
     image: str
     share: float
-    paused_s: float | None
-    can_move: bool
+    used: float
 
 
-def decide(
+def paces(
     effects: disturbance.DisturbanceModel,
     serving: Sequence[Serving],
     filling: Sequence[Filling],
-    since_change_s: float,
-) -> tuple[Action, model.TaskId] | None:
-    """Returns the next step on a worker, or None."""
-    suffering = [item for item in serving if item.headroom < PAUSE_BELOW]
-    active = [item for item in filling if item.paused_s is None]
-    if suffering and active:
-        if since_change_s < PAUSE_INTERVAL_S:
-            return None
-        worst = max(
-            active,
-            key=lambda item: sum(
-                effects.effect(item.image, victim.image) * item.share
-                for victim in suffering
-            ),
-        )
-        return Action.PAUSE, worst.task
-    if since_change_s < RESUME_INTERVAL_S:
-        return None
-    paused = [item for item in filling if item.paused_s is not None]
-    for item in paused:
-        if remaining(effects, serving, active, item) >= PLACE_ABOVE:
-            return Action.RESUME, item.task
-    for item in paused:
-        if item.can_move and (item.paused_s or 0.0) >= MOVE_AFTER_S:
-            return Action.MOVE, item.task
-    return None
-
-
-def remaining(
+) -> dict[model.TaskId, int]:
+    """Returns the pace of each filling task, in percent."""
+    spare = [
+        (item.image, _alone(effects, item, filling) - KEEP_HEADROOM)
+        for item in serving
+    ]
+    lost_by_task = {
+        item.task: [
+            effects.effect(item.image, image) * item.share for image, _ in spare
+        ]
+        for item in filling
+    }
+    left = [max(0.0, headroom) for _, headroom in spare]
+    chosen: dict[model.TaskId, int] = {}
+    for item in sorted(
+        filling, key=lambda item: _damage(lost_by_task[item.task], left)
+    ):
+        lost = lost_by_task[item.task]
+        pace = FULL_PACE
+        for room, loss in zip(left, lost, strict=True):
+            if loss > 0:
+                pace = min(pace, int(FULL_PACE * room / loss))
+        if pace < LEAST_PACE:
+            pace = 0
+        chosen[item.task] = pace
+        left = [
+            room - loss * pace / FULL_PACE
+            for room, loss in zip(left, lost, strict=True)
+        ]
+    return chosen
+
+
+def _damage(lost: Sequence[float], left: Sequence[float]) -> float:
+    """Returns the largest part of any serving task's headroom that is lost."""
+    return max(
+        (loss / max(room, 0.01) for loss, room in zip(lost, left, strict=True)),
+        default=0.0,
+    )
+
+
+def _alone(
     effects: disturbance.DisturbanceModel,
-    serving: Sequence[Serving],
-    active: Sequence[Filling],
-    added: Filling,
+    item: Serving,
+    filling: Sequence[Filling],
 ) -> float:
-    """Returns the least headroom of the serving tasks with one task added."""
-    least = disturbance.MAX_HEADROOM
-    for item in serving:
-        lost = sum(
-            effects.effect(other.image, item.image) * other.share
-            for other in (*active, added)
-        )
-        alone = item.alone
-        if alone is None:
-            alone = item.headroom + lost
-        least = min(least, alone - lost)
-    return least
+    """Estimates a serving task's headroom with nothing beside."""
+    own = item.headroom + sum(
+        effects.effect(other.image, item.image) * other.used
+        for other in filling
+    )
+    if item.alone is None:
+        return own
+    return OWN_WEIGHT * own + (1 - OWN_WEIGHT) * item.alone
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -19,6 +19,8 @@
 # Largest part of a serving task's headroom that one filling task may take.
 # A task that takes more keeps out several that take little.
 MAX_LOSS = 0.2
+# Loss of headroom that isn't told from noise: such a task is welcome anywhere.
+HARMLESS_LOSS = 0.03
 # How much a serving task of the same image, but of another job, counts beside
 # one of the same step (1) or of another image (0).
 SAME_IMAGE_KINSHIP = 0.5
@@ -36,7 +38,7 @@
         alone_by_image: Undisturbed headroom of its serving tasks.
         share_by_image: Share of its processors that filling tasks ask for.
         serving_by_image: Number of its serving tasks.
-        is_open_to_filling: Whether more filling tasks may come.
+        is_suspect: Whether a task failed here since the last success.
         max_new: Tasks that may still be placed here.
     """
 
@@ -52,7 +54,7 @@
     alone_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
     share_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
     serving_by_image: dict[str, int] = dataclasses.field(default_factory=dict)
-    is_open_to_filling: bool = True
+    is_suspect: bool = False
     max_new: int = UNLIMITED
 
     def fits(self, needs: commands.Resources, fills: bool) -> bool:
@@ -63,7 +65,7 @@
             return False
         if fills:
             wanted = needs.millicores * MIN_FILL_SHARE
-            return self.is_open_to_filling and wanted <= self.idle_millicores
+            return wanted <= self.idle_millicores
         return needs.millicores <= self.free_millicores
 
     def take(self, spec: model.StepSpec) -> None:
@@ -94,6 +96,8 @@
 
     Attributes:
         avoided_by_index: Worker on which a task failed last.
+        last_attempts: Tasks whose job fails if they fail once more; they keep
+            away from suspect workers.
         count_by_worker: Tasks of the step that are already on a worker.
         rack: Rack that the step is bound to, or an empty string.
     """
@@ -102,6 +106,7 @@
     indices: Sequence[int]
     avoided_by_index: dict[int, str]
     count_by_worker: dict[str, int]
+    last_attempts: frozenset[int] = frozenset()
     rack: str = ""
 
 
@@ -125,7 +130,8 @@
             return self._of_filling(slot, spec)
         idle = slot.idle_millicores / max(1, slot.capacity_millicores)
         if not spec.tail_target_ms:
-            return (0.0, idle)
+            # The smallest gap that is large enough keeps larger ones free.
+            return (0.0, float(-slot.free_millicores))
         # The least headroom on a worker decides what fits beside. Tasks of one
         # job rise and fall together and tasks of one image bear the same
         # neighbours, so a worker with few of either has room more often.
@@ -148,6 +154,8 @@
             added = self.effects.effect(spec.image, image) * share
             held = self.effects.loss(image, slot.share_by_image)
             left = alone - held
+            if added <= HARMLESS_LOSS:
+                continue
             if left - added < pacing.PLACE_ABOVE or added > MAX_LOSS * left:
                 return None
             lost = max(lost, added / left)
@@ -155,14 +163,18 @@
 
 
 def _choose(
-    slots: Sequence[Slot], demand: Demand, avoided: str, rank: _Rank
+    slots: Sequence[Slot], demand: Demand, index: int, rank: _Rank
 ) -> Slot | None:
     spec = demand.spec
+    avoided = demand.avoided_by_index.get(index, "")
+    is_last_attempt = index in demand.last_attempts
     best: Slot | None = None
     best_rank: tuple[bool, bool, tuple[float, float]] | None = None
     for slot in slots:
         if not slot.fits(spec.needs, spec.fills):
             continue
+        if is_last_attempt and slot.is_suspect:
+            continue
         if spec.max_per_worker and (
             demand.count_by_worker.get(slot.worker, 0) >= spec.max_per_worker
         ):
@@ -234,9 +246,10 @@
     working = dataclasses.replace(demand, count_by_worker=counts)
     chosen: list[tuple[int, Slot]] = []
     for index in demand.indices:
-        avoided = demand.avoided_by_index.get(index, "")
-        slot = _choose(targets, working, avoided, rank)
+        slot = _choose(targets, working, index, rank)
         if slot is None:
+            if index in demand.last_attempts and not must_be_whole:
+                continue
             break
         slot.take(spec)
         counts[slot.worker] = counts.get(slot.worker, 0) + 1
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -102,7 +102,7 @@
             ):
                 continue
             step = state.open_steps[key]
-            demand = self._demand(key, spec, step)
+            demand = self._demand(state, key, spec, step)
             if not demand.indices:
                 continue
             chosen = placement.place_step(
@@ -113,6 +113,7 @@
                 or spec.colocate
                 or spec.required_label
                 or spec.max_per_worker
+                or demand.last_attempts
             )
             if is_plain and len(chosen) < len(demand.indices):
                 known.append(shape)
@@ -164,12 +165,15 @@
 
     def _demand(
         self,
+        state: state_lib.State,
         key: state_lib.StepKey,
         spec: model.StepSpec,
         step: state_lib.Step,
     ) -> placement.Demand:
         indices: list[int] = []
         avoided: dict[int, str] = {}
+        last_attempts: set[int] = set()
+        allowed = state.job_by_id[key.job].queue.max_attempts
         counts: dict[str, int] = {}
         for index, task in enumerate(step.tasks):
             if task.phase is model.TaskPhase.ASSIGNED:
@@ -184,9 +188,13 @@
                 indices.append(index)
                 if task.worker:
                     avoided[index] = task.worker
+                if task.failures and task.failures + 1 >= allowed:
+                    last_attempts.add(index)
         if spec.gang and len(indices) < len(step.tasks) - step.done:
             indices = []
-        return placement.Demand(spec, indices, avoided, counts)
+        return placement.Demand(
+            spec, indices, avoided, counts, frozenset(last_attempts)
+        )
 
     def _slots(
         self, now: float, state: state_lib.State, service: model.ServiceName
@@ -198,13 +206,18 @@
         for view in self._usable_workers(now, service):
             if view.is_stale:
                 self._fleet.refresh_used(state, view)
-            slot = self._slot(view)
+            slot = self._slot(state, view)
             for task in reserved_by_worker.get(view.key.worker, ()):
                 found = state.find_task(task)
                 if found is not None:
                     job, key, _, _ = found
                     slot.take(job.spec.steps[key.step])
             slots.append(slot)
+        suspects = sum(slot.is_suspect for slot in slots)
+        # So many at once speak of a fault that the workers don't have.
+        if suspects > health.MAX_SHARE_ON_PROBATION * len(slots):
+            for slot in slots:
+                slot.is_suspect = False
         return slots
 
     def _usable_workers(
@@ -227,22 +240,30 @@
             trusted = fresh
         return [view for view in trusted if now >= view.refused_until]
 
-    def _slot(self, view: fleet_lib.WorkerView) -> placement.Slot:
+    def _slot(
+        self, state: state_lib.State, view: fleet_lib.WorkerView
+    ) -> placement.Slot:
         free = view.free()
+        capacity = view.report.capacity.millicores
+        idle = view.idle_millicores
+        shares = dict(view.share_by_image)
+        for image, unused in self._neighbours.held_back(state, view).items():
+            idle += unused
+            shares[image] = shares.get(image, 0.0) - unused / max(1, capacity)
         return placement.Slot(
             worker=view.key.worker,
             incarnation=view.key.incarnation,
             labels=view.report.labels,
             rack=view.report.rack,
-            capacity_millicores=view.report.capacity.millicores,
+            capacity_millicores=capacity,
             free_millicores=free.millicores,
             free_memory_mb=free.memory_mb,
             free_accelerators=free.accelerators,
-            idle_millicores=view.idle_millicores,
+            idle_millicores=idle,
             alone_by_image=self._neighbours.alone_by_image(view.key),
-            share_by_image=dict(view.share_by_image),
+            share_by_image=shares,
             serving_by_image=dict(view.serving_by_image),
-            is_open_to_filling=not self._neighbours.has_paused(view.key),
+            is_suspect=bool(view.record.failed_jobs),
             max_new=(
                 max(0, 1 - view.ending_runs)
                 if view.record.on_trial
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -16,6 +16,9 @@
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 
+# Pairs of images that are remembered; the ones not seen for longest go first.
+MAX_EFFECTS = 4096
+
 
 class StepKey(NamedTuple):
     """Names one step of one occurrence of a job."""
@@ -90,6 +93,7 @@
     configuration: model.Configuration | None
     is_open: bool
     jobs: list[Job]
+    effects: list[log_commands.LearnedEffect] = []
 
 
 class Result(enum.IntEnum):
@@ -112,6 +116,9 @@
         self.runs_by_worker: dict[WorkerKey, dict[model.TaskId, int]] = {}
         self.touched_workers: set[WorkerKey] = set()
         self.timed_job_by_id: dict[model.JobId, Job] = {}
+        self.effect_by_pair: dict[
+            tuple[str, str], log_commands.LearnedEffect
+        ] = {}
         # Parts of a job keep their identity for as long as it is known.
         self._found_by_task: dict[
             model.TaskId, tuple[Job, StepKey, Step, Task]
@@ -166,7 +173,10 @@
         """Encodes the state for a snapshot."""
         return msgspec.msgpack.encode(
             _Snapshot(
-                self.configuration, self.is_open, list(self.job_by_id.values())
+                self.configuration,
+                self.is_open,
+                list(self.job_by_id.values()),
+                list(self.effect_by_pair.values()),
             )
         )
 
@@ -179,6 +189,9 @@
     snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
     state.configuration = snapshot.configuration
     state.is_open = snapshot.is_open
+    state.effect_by_pair = {
+        (item.filling, item.serving): item for item in snapshot.effects
+    }
     for job in snapshot.jobs:
         state.job_by_id[job.id] = job
         if job.is_active and job.spec.repetitions:
@@ -465,3 +478,17 @@
         if job is not None and not job.is_active:
             del state.job_by_id[job_id]
     return Result.APPLIED
+
+
+@_applies(log_commands.KeepEffects)
+def _keep_effects(
+    state: State, index: int, command: log_commands.KeepEffects
+) -> Result:
+    del index
+    for item in command.effects:
+        # The pair learned of last goes to the end.
+        state.effect_by_pair.pop((item.filling, item.serving), None)
+        state.effect_by_pair[item.filling, item.serving] = item
+    while len(state.effect_by_pair) > MAX_EFFECTS:
+        del state.effect_by_pair[next(iter(state.effect_by_pair))]
+    return Result.APPLIED
