--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -42,9 +42,11 @@
 
     Attributes:
         lease_s: Time for which a worker may run things without a new lease.
+        restore_s: Time that a task needs to resume from a checkpoint.
     """
 
     lease_s: float = 6.0
+    restore_s: float = 0.5
 
 
 class Dispatcher:
@@ -58,7 +60,7 @@
         self._settings = settings
         self._notes = notebook or notes.Notebook()
         self.fleet = fleet_lib.Fleet()
-        self.neighbours = neighbours.Neighbours()
+        self.neighbours = neighbours.Neighbours(settings.restore_s)
         self.planner = planner_lib.Planner(self.fleet, self.neighbours)
         self._office_since = 0.0
         self._expiry_due = 0.0
@@ -78,7 +80,9 @@
             wall_ms: Wall clock, to tell roughly how old jobs are.
         """
         self.fleet = fleet_lib.Fleet()
-        self.neighbours = neighbours.Neighbours(state.effect_by_pair.values())
+        self.neighbours = neighbours.Neighbours(
+            self._settings.restore_s, state.effect_by_pair.values()
+        )
         self.planner = planner_lib.Planner(self.fleet, self.neighbours)
         self.planner.take_over(now, state, wall_ms)
         self._office_since = now
--- a/fulmarrouter/cluster/neighbours.py
+++ b/fulmarrouter/cluster/neighbours.py
@@ -75,12 +75,16 @@
     """Learns from reports and decides which filling tasks go on.
 
     Args:
+        restore_s: Time that a task needs to resume from a checkpoint.
         inherited: What earlier leaders have learned.
     """
 
     def __init__(
-        self, inherited: Iterable[log_commands.LearnedEffect] = ()
+        self,
+        restore_s: float,
+        inherited: Iterable[log_commands.LearnedEffect] = (),
     ) -> None:
+        self._move_after_s = pacing.move_after_s(restore_s)
         self.effects = disturbance.DisturbanceModel(inherited)
         self._watch_by_worker: dict[state_lib.WorkerKey, _Watch] = {}
 
@@ -239,7 +243,7 @@
             if is_settled and _differs(known.percent, percent):
                 known.percent = percent
                 known.changed_at = now
-            is_stuck = now - known.changed_at >= pacing.MOVE_AFTER_S
+            is_stuck = now - known.changed_at >= self._move_after_s
             if not known.percent and is_stuck and can_move[task]:
                 view.stopping[task] = run
 
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -185,7 +185,8 @@
             dispatcher.DispatchSettings(
                 lease_s=min(
                     WORKER_LEASE_S, self.settings.max_worker_lease_ms / 1000
-                )
+                ),
+                restore_s=self.settings.checkpoint_restore_ms / 1000,
             ),
         )
 
--- a/fulmarrouter/cluster/pacing.py
+++ b/fulmarrouter/cluster/pacing.py
@@ -22,10 +22,12 @@
 FULL_PACE = 100
 # Paces below this are not worth the memory that the task holds.
 LEAST_PACE = 15
-# Pause after which a task is moved to another worker.
-MOVE_AFTER_S = 0.6
+# Pause after which a task is moved to another worker: long enough to show that
+# it isn't over at once, and several times what resuming there costs.
+LEAST_MOVE_AFTER_S = 0.3
+MOVE_AFTER_RESTORES = 3.0
 # Part of its work up to which a task that saves nothing is moved.
-MOVE_UNSAVED_BELOW_PERCENT = 50
+MOVE_UNSAVED_BELOW_PERCENT = 25
 # Weight of a serving task's own reading against those of its job's other
 # tasks, when estimating what it would have alone.
 OWN_WEIGHT = 0.5
@@ -62,6 +64,11 @@
     used: float
 
 
+def move_after_s(restore_s: float) -> float:
+    """Returns the pause after which a task is moved to another worker."""
+    return LEAST_MOVE_AFTER_S + MOVE_AFTER_RESTORES * restore_s
+
+
 def paces(
     effects: disturbance.DisturbanceModel,
     serving: Sequence[Serving],
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -18,7 +18,7 @@
 UNLIMITED = 1 << 30  # More tasks than any worker holds.
 # Largest part of a serving task's headroom that one filling task may take.
 # A task that takes more keeps out several that take little.
-MAX_LOSS = 0.2
+MAX_LOSS = 0.25
 # Loss of headroom that isn't told from noise: such a task is welcome anywhere.
 HARMLESS_LOSS = 0.03
 # How much a serving task of the same image, but of another job, counts beside
--- a/fulmarrouter/settings.py
+++ b/fulmarrouter/settings.py
@@ -177,6 +177,8 @@
         found_deployment: This is the very first start of the deployment.
         data_folder: Folder on a disk, or an empty string for no keeper.
         max_worker_lease_ms: Longest lease that workers accept.
+        checkpoint_restore_ms: Time that a task needs to resume from a
+            checkpoint.
         stop_grace_s: Time between the request to stop and the kill.
         advice: Address of the placement advice service, or an empty string.
     """
@@ -195,6 +197,7 @@
     data_folder: str = ""
     tolerated_losses: ToleratedLosses = ToleratedLosses()
     max_worker_lease_ms: Milliseconds = 6_000
+    checkpoint_restore_ms: Milliseconds = 500
     stop_grace_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 6.0
     advice: OptionalAddress = ""
     election: Election = Election()
