--- a/features/filling.feature
+++ b/features/filling.feature
@@ -44,6 +44,11 @@
       | keeps out     | at full pace  | no    |
       | lets in       | paused        | that  |
 
+  Scenario: An image that finds no room keeps out no other of the same size
+    Given a worker with a serving task that one image disturbs much and one not at all
+    When a filling task of each image waits, the disturbing one first
+    Then only the one that disturbs nobody is given to the worker
+
   Scenario Outline: A task that <asks> goes where <gap> cores are free
     Given workers with 4, 9 and 20 cores free
     When an ordinary task of <asks> cores waits
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -66,6 +66,11 @@
     Then its tasks are all done within 25 seconds
     And a process that is stopped with a signal ends within its grace period
 
+  Scenario: A seed without a disk that restarts is told who leads
+    Given 3 processes of a cluster with disks and a seed that has none
+    When the seed is killed and started again
+    Then the seed knows the leader again within 15 seconds
+
   Scenario: An operator finds the cause of three kinds of failed request from its id
     Given 3 processes of a cluster with disks and 1 without
     And an operator's configuration and 2 stand-in workers
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -264,6 +264,37 @@
     assert bool(context.given) == (which == "that"), context.given
 
 
+@given(
+    "a worker with a serving task that one image disturbs much and one not at"
+    " all"
+)
+def step_two_images(context: Any) -> None:
+    context.bench = Bench()
+    context.bench.report(0.0, "w", 64_000)
+    context.bench.dispatcher.neighbours.effects.inherit(
+        [
+            log_commands.LearnedEffect("heavy", "s", 30.0, 20),
+            log_commands.LearnedEffect("harmless", "s", 0.0, 20),
+        ]
+    )
+    context.bench.submit("0a", _serving(13_000))
+    assert len(context.bench.plan(0.1)) == 1
+    running = (requests.RunningTask(model.TaskId("0a.0.0.0"), 1, "", 100, 60),)
+    context.bench.report(0.3, "w", 64_000, running)
+
+
+@when("a filling task of each image waits, the disturbing one first")
+def step_both_wait(context: Any) -> None:
+    context.bench.submit("0b", _filling(8_000, "heavy"))
+    context.bench.submit("0c", _filling(8_000, "harmless"))
+    context.given = context.bench.plan(0.4)
+
+
+@then("only the one that disturbs nobody is given to the worker")
+def step_harmless_only(context: Any) -> None:
+    assert [item.task for item in context.given] == ["0c.0.0.0"], context.given
+
+
 @given("workers with 4, 9 and 20 cores free")
 def step_gaps(context: Any) -> None:
     context.bench = Bench()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -335,6 +335,33 @@
     _wait_for(START_TIMEOUT_S, context.entry.is_ready)
 
 
+@given("{disks:d} processes of a cluster with disks and a seed that has none")
+def step_diskless_seed(context: Any, disks: int) -> None:
+    context.seeds = [f"127.0.1.{disks + 1}"]
+    context.processes = [
+        _Process(
+            number,
+            context.seeds,
+            pathlib.Path(tempfile.mkdtemp()) if number <= disks else None,
+        )
+        for number in range(1, disks + 2)
+    ]
+    context.add_cleanup(_stop_processes, context.processes)
+    context.seed_number = disks + 1
+    _wait_for(START_TIMEOUT_S, context.processes[-1].is_ready)
+
+
+@when("the seed is killed and started again")
+def step_restart_seed(context: Any) -> None:
+    _stop_processes([context.processes[-1]])
+    context.processes.append(_Process(context.seed_number, context.seeds, None))
+
+
+@then("the seed knows the leader again within {seconds:d} seconds")
+def step_seed_ready(context: Any, seconds: int) -> None:
+    _wait_for(seconds, context.processes[-1].is_ready)
+
+
 def _wait_for(seconds: float, condition: Any) -> None:
     until = time.monotonic() + seconds
     while not condition():
