--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from fulmarrouter import addresses
 from fulmarrouter import codes
 from fulmarrouter import consensus
 from fulmarrouter import ids
@@ -122,7 +123,7 @@
 
     def leader_host(self) -> str:
         """Returns the leader's host, or an empty string."""
-        return self.leader_address().rpartition(":")[0]
+        return addresses.host_of(self.leader_address())
 
     # Input.
 
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -473,17 +473,13 @@
             return
         client = controller_lib.Client(connection, call.id)
         in_office = self.controller is not None and self.controller.in_office
-        if isinstance(request, requests.Locate | requests.Join) and (
-            not in_office
+        if isinstance(request, requests.Locate) or (
+            isinstance(request, requests.Join) and not in_office
         ):
             reply = self._locate(now, request)
             self._answer(controller_lib.Answered(client, reply))
             return
         if self.controller is not None:
-            if isinstance(request, requests.Locate):
-                reply = self._locate(now, request)
-                self._answer(controller_lib.Answered(client, reply))
-                return
             self.controller.on_request(now, times.wall_ms(), client, request)
             return
         refused = requests.Refused(
