Place filling tasks that have waited for long where only a slow pace is left

Ruled out: order of jobs (nothing else waited), last attempts (the runs had been stopped, not failed).

From 8 s after its submission a job's filling tasks may go to the worker that loses least by them; they are paced there and not moved again.

--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -290,6 +290,16 @@
     context.given = context.bench.plan(0.4)
 
 
+@when("a filling task of the disturbing image has waited for {age:d} s")
+def step_starving(context: Any, age: int) -> None:
+    bench = context.bench
+    bench.submit("0b", _filling(8_000, "heavy"))
+    assert not bench.plan(0.4)
+    running = (requests.RunningTask(model.TaskId("0a.0.0.0"), 1, "", 100, 60),)
+    bench.report(0.4 + age, "w", 64_000, running)
+    context.given = bench.plan(0.4 + age)
+
+
 @then("only the one that disturbs nobody is given to the worker")
 def step_harmless_only(context: Any) -> None:
     assert [item.task for item in context.given] == ["0c.0.0.0"], context.given
--- a/fulmarrouter/cluster/neighbours.py
+++ b/fulmarrouter/cluster/neighbours.py
@@ -87,6 +87,14 @@
         self._move_after_s = pacing.move_after_s(restore_s)
         self.effects = disturbance.DisturbanceModel(inherited)
         self._watch_by_worker: dict[state_lib.WorkerKey, _Watch] = {}
+        self._jobs_in_place: set[model.JobId] = set()
+
+    def keep_in_place(self, job: model.JobId) -> None:
+        """Has a job's filling tasks wait where they are instead of moving.
+
+        They have found no better place for long, and each start disturbs.
+        """
+        self._jobs_in_place.add(job)
 
     def on_report(
         self, now: float, state: state_lib.State, view: fleet_lib.WorkerView
@@ -114,6 +122,11 @@
             job = state.job_by_id.get(job_id)
             if job is None or not job.is_active:
                 self.effects.forget_job(job_id)
+        self._jobs_in_place = {
+            job_id
+            for job_id in self._jobs_in_place
+            if job_id in state.job_by_id and state.job_by_id[job_id].is_active
+        }
 
     def is_paused(self, key: state_lib.WorkerKey, task: model.TaskId) -> bool:
         """Whether a filling task has been given no pace at all."""
@@ -230,7 +243,11 @@
             if row.spec.tail_target_ms and row.reported.usage > 0
         ]
         wanted = pacing.paces(self.effects, serving, filling)
-        can_move = {row.reported.task: _can_move(row) for row in rows}
+        can_move = {
+            row.reported.task: _can_move(row)
+            and row.job.id not in self._jobs_in_place
+            for row in rows
+        }
         for task, percent in wanted.items():
             run = view.running[task].run
             known = watch.pace_by_task.get(task)
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -21,6 +21,7 @@
 MAX_LOSS = 0.25
 # Loss of headroom that isn't told from noise: such a task is welcome anywhere.
 HARMLESS_LOSS = 0.03
+LEAST_HEADROOM = 0.01  # Keeps relative losses finite.
 # How much a serving task of the same image, but of another job, counts beside
 # one of the same step (1) or of another image (0).
 SAME_IMAGE_KINSHIP = 0.5
@@ -100,6 +101,8 @@
             away from suspect workers.
         count_by_worker: Tasks of the step that are already on a worker.
         rack: Rack that the step is bound to, or an empty string.
+        is_starved: Whether a filling task has waited so long that it may also
+            go where it finds only a slow pace.
     """
 
     spec: model.StepSpec
@@ -108,6 +111,7 @@
     count_by_worker: dict[str, int]
     last_attempts: frozenset[int] = frozenset()
     rack: str = ""
+    is_starved: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -115,6 +119,7 @@
     """Compares workers for a task; the highest is taken."""
 
     effects: disturbance.DisturbanceModel
+    is_starved: bool = False
 
     def of(
         self, slot: Slot, spec: model.StepSpec, same_step: int
@@ -156,9 +161,12 @@
             left = alone - held
             if added <= HARMLESS_LOSS:
                 continue
-            if left - added < pacing.PLACE_ABOVE or added > MAX_LOSS * left:
+            takes_much = (
+                left - added < pacing.PLACE_ABOVE or added > MAX_LOSS * left
+            )
+            if takes_much and not self.is_starved:
                 return None
-            lost = max(lost, added / left)
+            lost = max(lost, added / max(left, LEAST_HEADROOM))
         return (-lost, float(slot.idle_millicores))
 
 
@@ -204,7 +212,7 @@
         Pairs of a task's index and its worker; the slots are updated.
     """
     spec = demand.spec
-    rank = _Rank(effects)
+    rank = _Rank(effects, demand.is_starved)
     usable = [
         slot
         for slot in slots
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -4,6 +4,8 @@
 next round, which may come before that, doesn't plan it again.
 """
 
+import dataclasses
+
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import health
 from fulmarrouter.cluster import log_commands
@@ -20,6 +22,9 @@
 REPLAN_S = 0.04
 # Ages of jobs taken over are read off wall clocks, which jump.
 MAX_AGE_S = 60.0
+# Age of a job from which its filling tasks may also go where their
+# neighbours leave them only a slow pace, so that none waits for ever.
+STARVED_AFTER_S = 8.0
 
 
 class Planner:
@@ -82,7 +87,9 @@
         self._open_when_planned = len(state.open_steps)
         slots_by_service: dict[model.ServiceName, list[placement.Slot]] = {}
         assignments: list[log_commands.Assignment] = []
-        failed_needs: dict[tuple[str, bool, str], list[tuple[int, int]]] = {}
+        failed_needs: dict[
+            tuple[str, bool, bool, str], list[tuple[int, int]]
+        ] = {}
         for key in self._order(now, state):
             job = state.job_by_id[key.job]
             service = job.queue.service
@@ -96,18 +103,25 @@
             shape = (spec.needs.millicores, spec.needs.memory_mb)
             # What a filling task finds depends on its image too.
             image = spec.image if spec.fills else ""
-            known = failed_needs.setdefault((service, spec.fills, image), [])
+            is_starved = spec.fills and self._is_starved(now, key.job)
+            known = failed_needs.setdefault(
+                (service, spec.fills, is_starved, image), []
+            )
             if any(
                 shape[0] >= item[0] and shape[1] >= item[1] for item in known
             ):
                 continue
             step = state.open_steps[key]
-            demand = self._demand(state, key, spec, step)
+            demand = dataclasses.replace(
+                self._demand(state, key, spec, step), is_starved=is_starved
+            )
             if not demand.indices:
                 continue
             chosen = placement.place_step(
                 slots, demand, self._neighbours.effects
             )
+            if chosen and is_starved:
+                self._neighbours.keep_in_place(key.job)
             is_plain = not (
                 spec.gang
                 or spec.colocate
@@ -124,6 +138,9 @@
             return None
         return log_commands.AssignTasks(tuple(assignments))
 
+    def _is_starved(self, now: float, job: model.JobId) -> bool:
+        return now - self._seen_at.get(job, now) > STARVED_AFTER_S
+
     def _assign(
         self,
         key: state_lib.StepKey,
