--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -25,6 +25,9 @@
 # Age of a job from which its filling tasks may also go where their
 # neighbours leave them only a slow pace, so that none waits for ever.
 STARVED_AFTER_S = 8.0
+# Only while at least this part of the processors is idle: under overload most
+# jobs are that old, and the ones that disturb least go first.
+STARVED_IDLE_SHARE = 0.35
 
 
 class Planner:
@@ -103,7 +106,11 @@
             shape = (spec.needs.millicores, spec.needs.memory_mb)
             # What a filling task finds depends on its image too.
             image = spec.image if spec.fills else ""
-            is_starved = spec.fills and self._is_starved(now, key.job)
+            is_starved = (
+                spec.fills
+                and self._is_old(now, key.job)
+                and _idle_share(slots) >= STARVED_IDLE_SHARE
+            )
             known = failed_needs.setdefault(
                 (service, spec.fills, is_starved, image), []
             )
@@ -138,7 +145,7 @@
             return None
         return log_commands.AssignTasks(tuple(assignments))
 
-    def _is_starved(self, now: float, job: model.JobId) -> bool:
+    def _is_old(self, now: float, job: model.JobId) -> bool:
         return now - self._seen_at.get(job, now) > STARVED_AFTER_S
 
     def _assign(
@@ -287,3 +294,8 @@
                 else placement.UNLIMITED
             ),
         )
+
+
+def _idle_share(slots: list[placement.Slot]) -> float:
+    idle = sum(max(0, slot.idle_millicores) for slot in slots)
+    return idle / max(1, sum(slot.capacity_millicores for slot in slots))
