Give addresses of keepers and waking of selectors one place each

Four loops looked up a keeper's address in the membership, and two tasks had the same pair of sockets to wake their selector. Both are one piece now (Membership.address_of, waking.Waker). The node keeps its seeds once, in the gateway. Behaviour is unchanged.

--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+import msgspec
+
 from fulmarrouter import addresses
 from fulmarrouter import codes
 from fulmarrouter import consensus
@@ -116,10 +118,7 @@
 
     def leader_address(self) -> str:
         """Returns the leader's address as host:port, or an empty string."""
-        for member in self.replica.membership.all_keepers():
-            if member.keeper == self.replica.leader:
-                return f"{member.host}:{member.port}"
-        return ""
+        return self.replica.membership.address_of(self.replica.leader)
 
     def leader_host(self) -> str:
         """Returns the leader's host, or an empty string."""
@@ -148,7 +147,9 @@
             return
         if isinstance(request, requests.Join):
             self._on_join(now, request)
-            reply = requests.Located(self.leader_address(), self._members())
+            reply = requests.Located(
+                self.leader_address(), self.member_addresses()
+            )
             self._answered.append(Answered(client, reply))
             return
         if not self.state.is_open:
@@ -281,10 +282,10 @@
             )
         )
 
-    def _members(self) -> tuple[str, ...]:
+    def member_addresses(self) -> tuple[str, ...]:
+        """Returns where all keepers listen, as host:port."""
         return tuple(
-            f"{item.host}:{item.port}"
-            for item in self.replica.membership.all_keepers()
+            item.place for item in self.replica.membership.all_keepers()
         )
 
     # Time.
@@ -496,9 +497,9 @@
                 orders = self.dispatcher.orders(
                     now, self.state, item.request, self.replica.term
                 )
-                return _with_address(
+                return msgspec.structs.replace(
                     orders,
-                    f"{self.leader_host()}:{self._settings.control_port}",
+                    report_to=f"{self.leader_host()}:{self._settings.control_port}",
                 )
             case requests.ReplaceConfiguration():
                 if result is state_lib.Result.CONFLICT:
@@ -530,17 +531,3 @@
             return None
         self._snapshot_index = applied
         return self.replica.compact(self.state.encode())
-
-
-def _with_address(orders: requests.Orders, address: str) -> requests.Orders:
-    """Returns orders that name where to report next."""
-    return requests.Orders(
-        orders.lease_ms,
-        orders.noted_end,
-        orders.fencing,
-        orders.starts,
-        orders.stops,
-        orders.paces,
-        orders.next_report_ms,
-        address,
-    )
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -9,7 +9,6 @@
 import pathlib
 import random
 import selectors
-import socket
 import time
 
 import msgspec
@@ -28,6 +27,7 @@
 from fulmarrouter import storage as storage_lib
 from fulmarrouter import tasks
 from fulmarrouter import times
+from fulmarrouter import waking
 from fulmarrouter import wire
 from fulmarrouter.cluster import controller as controller_lib
 from fulmarrouter.cluster import disk_writer
@@ -89,19 +89,13 @@
         super().__init__()
         self.settings = settings
         self._source = source
-        self._seeds = settings.seeds
         self.is_draining = False
         self.registry = metrics.Registry()
         self.notes = notes.Notebook()
         self._bounded_log = notes.BoundedLog(self.log)
         self._known_leader = ""
         self._selector = selectors.DefaultSelector()
-        self._wake_reader, self._wake_writer = socket.socketpair()
-        self._wake_reader.setblocking(False)
-        self._wake_writer.setblocking(False)
-        self._selector.register(
-            self._wake_reader, selectors.EVENT_READ, (None, None)
-        )
+        self._waker = waking.Waker(self._selector, (None, None))
         self._host = settings.host
         self._address = f"{settings.host}:{settings.peer_port}"
         self._servers = [
@@ -128,7 +122,7 @@
             self._on_incoming,
         )
         self.gateway = gateway_lib.Gateway(
-            self, self._address, self._seed_addresses()
+            self, self._address, self._peers_at(settings.seeds)
         )
         self._announcements = membership.Announcements()
         self._connection_by_sender: dict[str, ids.ConnectionId] = {}
@@ -137,7 +131,6 @@
         self._leader_heard_at = 0.0
         self._was_leader = False
         self._held_back: list[consensus.Outbound] = []
-        self._local_answers: list[controller_lib.Answered] = []
         self._must_stop = False
         self._is_ending = False
         self._shutdown: draining.Shutdown | None = None
@@ -150,15 +143,15 @@
 
         return handle
 
-    def _seed_addresses(self) -> tuple[str, ...]:
+    def _peers_at(self, seeds: tuple[str, ...]) -> tuple[str, ...]:
+        """Returns where the seeds listen for other processes."""
         return tuple(
             f"{addresses.host_of(seed)}:{self.settings.peer_port}"
-            for seed in self._seeds
+            for seed in seeds
         )
 
     def _use_seeds(self, seeds: tuple[str, ...]) -> None:
-        self._seeds = seeds
-        self.gateway.seeds = self._seed_addresses()
+        self.gateway.seeds = self._peers_at(seeds)
 
     # Keeper.
 
@@ -166,7 +159,7 @@
         self._sender = identity.load_or_create(folder)
         self._storage = storage_lib.Storage(folder)
         self._start_controller(self._storage.load())
-        self._disk = disk_writer.DiskWriter(self._storage, self._wake)
+        self._disk = disk_writer.DiskWriter(self._storage, self._waker.wake)
 
     def _start_controller(self, saved: consensus.Saved) -> None:
         election = self.settings.election
@@ -263,18 +256,18 @@
     def stop(self) -> None:
         """Asks the task to end; may be called from a signal handler."""
         self._must_stop = True
-        self._wake()
+        self._waker.wake()
 
     def drain(self) -> None:
         """Asks for a graceful shutdown; may be called from a signal handler."""
         self.is_draining = True
-        self._wake()
+        self._waker.wake()
 
     def reload(self) -> None:
         """Has the settings file read; may be called from a signal handler."""
         if self._source is not None:
             self._source.ask_to_read()
-        self._wake()
+        self._waker.wake()
 
     def run(self) -> None:
         """Serves until stopped or drained."""
@@ -300,7 +293,7 @@
         for key, events in self._selector.select(self._idle_seconds()):
             owner, data = key.data
             if owner is None:
-                self._drain_wake()
+                self._waker.drain()
             else:
                 owner.on_ready(data, events)
         now = time.monotonic()
@@ -354,20 +347,6 @@
         )
         return self._shutdown.is_over(now, is_idle)
 
-    def _wake(self) -> None:
-        try:
-            self._wake_writer.send(b"\0")
-        except OSError:
-            # The pipe is full, so the thread will wake anyway.
-            return
-
-    def _drain_wake(self) -> None:
-        try:
-            while self._wake_reader.recv(4096):
-                continue
-        except BlockingIOError:
-            return
-
     def _run_keeper(self, now: float) -> None:
         controller = self.controller
         if controller is None or self._disk is None:
@@ -501,17 +480,13 @@
                 request.may_found,
             )
             found = self._founder(now) == request.address.keeper
-            place = f"{request.address.host}:{request.address.port}"
-            self.gateway.learn_member(now, place)
-        members: tuple[str, ...] = self.gateway.members
+            self.gateway.learn_member(now, request.address.place)
+        members = self.gateway.members
+        leader = self.gateway.leader
         if self.controller is not None:
-            known = self.controller.replica.membership.all_keepers()
-            members = tuple(f"{item.host}:{item.port}" for item in known)
-            leader = self.controller.leader_address()
-            if not self.controller.replica.membership.voters:
-                leader = self.gateway.leader
-        else:
-            leader = self.gateway.leader
+            members = self.controller.member_addresses()
+            if self.controller.replica.membership.voters:
+                leader = self.controller.leader_address()
         return requests.Located(leader, members, found)
 
     def _founder(self, now: float) -> str:
@@ -559,10 +534,10 @@
                 now, self._own_member(), self.settings.domain, False, False
             )
         if not is_settled:
-            targets += [*self.gateway.members, *self._seed_addresses()]
+            targets += [*self.gateway.members, *self.gateway.seeds]
         elif now >= self._seed_announce_due:
             self._seed_announce_due = now + SEED_ANNOUNCE_S
-            targets += self._seed_addresses()
+            targets += self.gateway.seeds
         if self._address in targets and replica.is_blank:
             own = self._locate(now, request)
             if own.found:
@@ -573,7 +548,8 @@
                 self.send_request(address, self.gateway.next_call(), request)
 
     def _send(self, to: str, message: messages.AnyMessage) -> None:
-        address = self._address_of(to)
+        assert self.controller is not None
+        address = self.controller.replica.membership.address_of(to)
         if address:
             self._peers.send_to_peer(address, message)
             return
@@ -581,14 +557,6 @@
         if connection is not None:
             self._peers.send_on(connection, message)
 
-    def _address_of(self, keeper: str) -> str:
-        assert self.controller is not None
-        replica = self.controller.replica
-        for member in replica.membership.all_keepers():
-            if member.keeper == keeper:
-                return f"{member.host}:{member.port}"
-        return ""
-
     def _answer(self, answered: controller_lib.Answered) -> None:
         client = answered.client
         if client.connection == LOCAL:
--- a/fulmarrouter/commands.py
+++ b/fulmarrouter/commands.py
@@ -371,6 +371,11 @@
     host: str
     port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
+    @property
+    def place(self) -> str:
+        """Where it listens, as host:port."""
+        return f"{self.host}:{self.port}"
+
 
 class KeeperSet(
     msgspec.Struct, frozen=True, tag="keeper_set", forbid_unknown_fields=True
--- a/fulmarrouter/keeper.py
+++ b/fulmarrouter/keeper.py
@@ -153,10 +153,7 @@
 
     def leader_address(self) -> str:
         """Returns the leader's address as host:port, or an empty string."""
-        for member in self.replica.membership.all_keepers():
-            if member.keeper == self.replica.leader:
-                return f"{member.host}:{member.port}"
-        return ""
+        return self.replica.membership.address_of(self.replica.leader)
 
     def _refuse(self, client: Client) -> None:
         self._answered.append(
@@ -319,7 +316,7 @@
         peer = self.replica.peer_status(now, member.keeper)
         return requests.KeeperView(
             keeper=member.keeper,
-            address=f"{member.host}:{member.port}",
+            address=member.place,
             voter=self.replica.membership.votes(member.keeper),
             match_index=peer.match_index,
             last_heard_ms=int(peer.silent_for * 1000),
--- a/fulmarrouter/keeper_task.py
+++ b/fulmarrouter/keeper_task.py
@@ -111,10 +111,8 @@
         self._keeper.on_request(now, times.wall_ms(), client, request)
 
     def _address_of(self, keeper: str) -> str | None:
-        for member in self._keeper.replica.membership.all_keepers():
-            if member.keeper == keeper:
-                return f"{member.host}:{member.port}"
-        return self._peer_addresses.get(keeper)
+        known = self._keeper.replica.membership.address_of(keeper)
+        return known or self._peer_addresses.get(keeper)
 
     def _send(self, to: str, message: messages.AnyMessage) -> None:
         address = self._address_of(to)
--- a/fulmarrouter/messages.py
+++ b/fulmarrouter/messages.py
@@ -33,6 +33,13 @@
         """Returns voters, then learners."""
         return self.voters + self.learners
 
+    def address_of(self, keeper: str) -> str:
+        """Returns where a keeper listens, or an empty string."""
+        for member in self.all_keepers():
+            if member.keeper == keeper:
+                return member.place
+        return ""
+
     def votes(self, keeper: str) -> bool:
         """Tells whether the keeper is a voter."""
         return any(member.keeper == keeper for member in self.voters)
--- a/fulmarrouter/network.py
+++ b/fulmarrouter/network.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 import dataclasses
 import selectors
-import socket
 import time
 
 from fulmarrouter import connections
 from fulmarrouter import ids
 from fulmarrouter import tasks
+from fulmarrouter import waking
 from fulmarrouter import wire
 
 Received = connections.Received
@@ -52,9 +52,7 @@
     ) -> None:
         super().__init__()
         self._selector = selectors.DefaultSelector()
-        self._wake_reader, self._wake_writer = socket.socketpair()
-        self._wake_reader.setblocking(False)
-        self._wake_writer.setblocking(False)
+        self._waker = waking.Waker(self._selector, (None, None))
         self._connections = connections.Connections(
             sender, listen, self._selector, deliver
         )
@@ -62,22 +60,17 @@
     def post(self, message: SendToPeer | SendOn) -> None:
         """Puts a message into the mailbox and wakes the selector."""
         super().post(message)
-        self._wake()
+        self._waker.wake()
 
     def stop(self) -> None:
         """Asks the task to end after the messages already posted."""
         super().stop()
-        self._wake()
-
-    def start_up(self) -> None:
-        """Registers the socket that wakes the selector."""
-        self._selector.register(self._wake_reader, selectors.EVENT_READ, None)
+        self._waker.wake()
 
     def shut_down(self) -> None:
         """Closes all sockets."""
         self._connections.close()
-        self._wake_reader.close()
-        self._wake_writer.close()
+        self._waker.close()
         self._selector.close()
 
     def idle_seconds(self) -> float:
@@ -97,22 +90,9 @@
         if self._stopping:
             return
         for key, events in self._selector.select(timeout=connections.POLL_S):
-            if key.fileobj is self._wake_reader:
-                self._drain_wake()
+            owner, data = key.data
+            if owner is None:
+                self._waker.drain()
             else:
-                owner, data = key.data
                 owner.on_ready(data, events)
         self._connections.check_clocks(time.monotonic())
-
-    def _wake(self) -> None:
-        try:
-            self._wake_writer.send(b"\0")
-        except (BlockingIOError, OSError):
-            return
-
-    def _drain_wake(self) -> None:
-        try:
-            while self._wake_reader.recv(4096):
-                continue
-        except BlockingIOError:
-            return
