Keep a paced task's step with its pace; look at idle room once a round

The planner looked up each paced task again for each worker and round, built each demand twice and summed the idle room once for each old step. Admission took four arguments that it threw away.

--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -174,11 +174,7 @@
         log_commands.LearnedEffect(f"f{number}", "s", effect, 20)
         for number, effect in enumerate(context.effects)
     ]
-    serving = [
-        pacing.Serving(
-            model.JobId("0a"), "s", context.alone, alone=context.alone
-        )
-    ]
+    serving = [pacing.Serving("s", context.alone, alone=context.alone)]
     filling = [
         pacing.Filling(model.TaskId(str(number)), item.filling, 0.125, 0.0)
         for number, item in enumerate(learned)
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -98,7 +98,6 @@
         self.dispatcher = dispatcher_lib.Dispatcher(
             dispatch_settings, self.notes
         )
-        self.admission = admission.Admission()
         self._settings = settings
         self._leading_term = 0
         self._in_office = False
@@ -211,9 +210,7 @@
             self._await(now, client, request)
             return
         if target.job not in self.state.job_by_id:
-            verdict = self.admission.decide(
-                now, self.state, self.dispatcher.fleet, target.queue, request
-            )
+            verdict = admission.refusal(self.state)
             if verdict is not None:
                 self.notes.add(
                     "job refused", job=target.job, reason=verdict.reason
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -353,8 +353,7 @@
         self.neighbours.forget_jobs(state)
         self.planner.forget_jobs(state)
         for job_id in list(self._failed_on):
-            job = state.job_by_id.get(job_id)
-            if job is None or not job.is_active:
+            if not state.has_active(job_id):
                 del self._failed_on[job_id]
 
     # Orders.
@@ -448,8 +447,7 @@
     def _next_report_ms(
         self, state: state_lib.State, view: fleet_lib.WorkerView
     ) -> int:
-        if view.is_stale:
-            self.fleet.refresh_used(state, view)
+        self.fleet.refresh_used(state, view)
         free = view.free().millicores
         if free > view.report.capacity.millicores * FULL_SHARE:
             return NEXT_REPORT_FREE_MS
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -92,7 +92,9 @@
         self.view_by_id: dict[model.WorkerId, WorkerView] = {}
 
     def refresh_used(self, state: state_lib.State, view: WorkerView) -> None:
-        """Recomputes the room that is taken on a worker."""
+        """Recomputes the room taken on a worker, if it may have changed."""
+        if not view.is_stale:
+            return
         millicores = 0
         memory_mb = 0
         accelerators = 0
@@ -108,8 +110,7 @@
             found = state.find_task(task)
             if found is None:
                 continue
-            job, key, _, _ = found
-            spec = job.spec.steps[key.step]
+            spec = state.spec_of(found[1])
             ending_runs += not spec.restarts
             memory_mb += spec.needs.memory_mb
             accelerators += spec.needs.accelerators
--- a/fulmarrouter/cluster/load_summary.py
+++ b/fulmarrouter/cluster/load_summary.py
@@ -18,8 +18,7 @@
 ) -> dict[str, object]:
     """Returns the fields of a line on the present load.
 
-    Cores are given as whole cores. `waiting` holds the tasks of open steps by
-    what they are.
+    Cores are given as whole cores.
     """
     capacity = 0
     free = 0
@@ -27,8 +26,7 @@
     largest_gap = 0
     paused = 0
     for view in fleet.view_by_id.values():
-        if view.is_stale:
-            fleet.refresh_used(state, view)
+        fleet.refresh_used(state, view)
         room = view.free().millicores
         capacity += view.report.capacity.millicores
         free += max(0, room)
--- a/fulmarrouter/cluster/neighbours.py
+++ b/fulmarrouter/cluster/neighbours.py
@@ -39,12 +39,14 @@
     """Pace of one run of a filling task.
 
     Attributes:
+        spec: The step that the task belongs to.
         percent: What it was last given.
         changed_at: When that changed.
         told_at: When the worker was last told.
     """
 
     run: int
+    spec: model.StepSpec
     percent: int
     changed_at: float
     told_at: float = float("-inf")
@@ -119,14 +121,9 @@
     def forget_jobs(self, state: state_lib.State) -> None:
         """Drops the readings of jobs that have ended."""
         for job_id in self.effects.jobs():
-            job = state.job_by_id.get(job_id)
-            if job is None or not job.is_active:
+            if not state.has_active(job_id):
                 self.effects.forget_job(job_id)
-        self._jobs_in_place = {
-            job_id
-            for job_id in self._jobs_in_place
-            if job_id in state.job_by_id and state.job_by_id[job_id].is_active
-        }
+        self._jobs_in_place = set(filter(state.has_active, self._jobs_in_place))
 
     def is_paused(self, key: state_lib.WorkerKey, task: model.TaskId) -> bool:
         """Whether a filling task has been given no pace at all."""
@@ -157,24 +154,17 @@
             return 0
         return sum(not item.percent for item in watch.pace_by_task.values())
 
-    def held_back(
-        self, state: state_lib.State, view: fleet_lib.WorkerView
-    ) -> dict[str, int]:
+    def held_back(self, key: state_lib.WorkerKey) -> dict[str, int]:
         """Returns the millicores that slowed tasks leave unused, by image."""
-        watch = self._watch_by_worker.get(view.key)
+        watch = self._watch_by_worker.get(key)
         found: dict[str, int] = {}
         if watch is None:
             return found
-        for task, pace in watch.pace_by_task.items():
-            known = state.find_task(task)
-            if known is None or pace.percent == pacing.FULL_PACE:
-                continue
-            job, key, _, _ = known
-            spec = job.spec.steps[key.step]
-            unused = spec.needs.millicores * (pacing.FULL_PACE - pace.percent)
-            found[spec.image] = (
-                found.get(spec.image, 0) + unused // pacing.FULL_PACE
-            )
+        for pace in watch.pace_by_task.values():
+            slack = pacing.FULL_PACE - pace.percent
+            unused = pace.spec.needs.millicores * slack // pacing.FULL_PACE
+            image = pace.spec.image
+            found[image] = found.get(image, 0) + unused
         return found
 
     def alone_by_image(self, key: state_lib.WorkerKey) -> dict[str, float]:
@@ -232,7 +222,6 @@
             return
         serving = [
             pacing.Serving(
-                row.job.id,
                 row.spec.image,
                 disturbance.headroom_of(
                     row.reported.usage, row.spec.tail_target_ms
@@ -243,27 +232,34 @@
             if row.spec.tail_target_ms and row.reported.usage > 0
         ]
         wanted = pacing.paces(self.effects, serving, filling)
-        can_move = {
-            row.reported.task: _can_move(row)
-            and row.job.id not in self._jobs_in_place
-            for row in rows
-        }
-        for task, percent in wanted.items():
-            run = view.running[task].run
+        for row in rows:
+            if not row.spec.fills:
+                continue
+            task, run = row.reported.task, row.reported.run
+            percent = wanted[task]
             known = watch.pace_by_task.get(task)
             if known is None or known.run != run:
                 if percent == pacing.FULL_PACE:
                     continue
-                known = _Pace(run, pacing.FULL_PACE, now - CHANGE_PACE_S)
+                known = _Pace(
+                    run, row.spec, pacing.FULL_PACE, now - CHANGE_PACE_S
+                )
                 watch.pace_by_task[task] = known
             is_settled = now - known.changed_at >= CHANGE_PACE_S
             if is_settled and _differs(known.percent, percent):
                 known.percent = percent
                 known.changed_at = now
             is_stuck = now - known.changed_at >= self._move_after_s
-            if not known.percent and is_stuck and can_move[task]:
+            if not known.percent and is_stuck and self._can_move(row):
                 view.stopping[task] = run
 
+    def _can_move(self, row: _Row) -> bool:
+        """Whether moving a filling task helps it and loses little work."""
+        return row.job.id not in self._jobs_in_place and (
+            row.spec.checkpoints
+            or row.reported.percent < pacing.MOVE_UNSAVED_BELOW_PERCENT
+        )
+
 
 def _differs(held: int, wanted: int) -> bool:
     """Whether a pace differs by so much that the worker is to be told."""
@@ -281,14 +277,6 @@
     )
 
 
-def _can_move(row: _Row) -> bool:
-    """Whether moving a filling task loses little work."""
-    return (
-        row.spec.checkpoints
-        or row.reported.percent < pacing.MOVE_UNSAVED_BELOW_PERCENT
-    )
-
-
 def _rows(state: state_lib.State, view: fleet_lib.WorkerView) -> Iterator[_Row]:
     for item in view.running.values():
         found = state.find_task(item.task)
--- a/fulmarrouter/cluster/pacing.py
+++ b/fulmarrouter/cluster/pacing.py
@@ -43,7 +43,6 @@
             known.
     """
 
-    job: model.JobId
     image: str
     headroom: float
     alone: float | None
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -4,8 +4,6 @@
 next round, which may come before that, doesn't plan it again.
 """
 
-import dataclasses
-
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import health
 from fulmarrouter.cluster import log_commands
@@ -73,8 +71,7 @@
     def forget_jobs(self, state: state_lib.State) -> None:
         """Drops what is known of jobs that have ended."""
         for job_id in list(self._seen_at):
-            job = state.job_by_id.get(job_id)
-            if job is None or not job.is_active:
+            if not state.has_active(job_id):
                 del self._seen_at[job_id]
 
     def plan(
@@ -89,6 +86,8 @@
         self._due = now + REPLAN_S
         self._open_when_planned = len(state.open_steps)
         slots_by_service: dict[model.ServiceName, list[placement.Slot]] = {}
+        # Share that is idle, until something is placed.
+        idle_by_service: dict[model.ServiceName, float] = {}
         assignments: list[log_commands.Assignment] = []
         failed_needs: dict[
             tuple[str, bool, bool, str], list[tuple[int, int]]
@@ -106,11 +105,12 @@
             shape = (spec.needs.millicores, spec.needs.memory_mb)
             # What a filling task finds depends on its image too.
             image = spec.image if spec.fills else ""
-            is_starved = (
-                spec.fills
-                and self._is_old(now, key.job)
-                and _idle_share(slots) >= STARVED_IDLE_SHARE
-            )
+            is_starved = False
+            if spec.fills and self._is_old(now, key.job):
+                idle = idle_by_service.get(service)
+                if idle is None:
+                    idle = idle_by_service[service] = _idle_share(slots)
+                is_starved = idle >= STARVED_IDLE_SHARE
             known = failed_needs.setdefault(
                 (service, spec.fills, is_starved, image), []
             )
@@ -119,16 +119,16 @@
             ):
                 continue
             step = state.open_steps[key]
-            demand = dataclasses.replace(
-                self._demand(state, key, spec, step), is_starved=is_starved
-            )
+            demand = self._demand(job, key, step, is_starved)
             if not demand.indices:
                 continue
             chosen = placement.place_step(
                 slots, demand, self._neighbours.effects
             )
-            if chosen and is_starved:
-                self._neighbours.keep_in_place(key.job)
+            if chosen:
+                idle_by_service.pop(service, None)
+                if is_starved:
+                    self._neighbours.keep_in_place(key.job)
             is_plain = not (
                 spec.gang
                 or spec.colocate
@@ -189,15 +189,15 @@
 
     def _demand(
         self,
-        state: state_lib.State,
+        job: state_lib.Job,
         key: state_lib.StepKey,
-        spec: model.StepSpec,
         step: state_lib.Step,
+        is_starved: bool,
     ) -> placement.Demand:
+        spec = job.spec.steps[key.step]
         indices: list[int] = []
         avoided: dict[int, str] = {}
         last_attempts: set[int] = set()
-        allowed = state.job_by_id[key.job].queue.max_attempts
         counts: dict[str, int] = {}
         for index, task in enumerate(step.tasks):
             if task.phase is model.TaskPhase.ASSIGNED:
@@ -212,12 +212,20 @@
                 indices.append(index)
                 if task.worker:
                     avoided[index] = task.worker
-                if task.failures and task.failures + 1 >= allowed:
+                if (
+                    task.failures
+                    and task.failures + 1 >= job.queue.max_attempts
+                ):
                     last_attempts.add(index)
         if spec.gang and len(indices) < len(step.tasks) - step.done:
             indices = []
         return placement.Demand(
-            spec, indices, avoided, counts, frozenset(last_attempts)
+            spec,
+            indices,
+            avoided,
+            counts,
+            frozenset(last_attempts),
+            is_starved=is_starved,
         )
 
     def _slots(
@@ -228,14 +236,12 @@
             reserved_by_worker.setdefault(item.worker, []).append(item.task)
         slots: list[placement.Slot] = []
         for view in self._usable_workers(now, service):
-            if view.is_stale:
-                self._fleet.refresh_used(state, view)
-            slot = self._slot(state, view)
+            self._fleet.refresh_used(state, view)
+            slot = self._slot(view)
             for task in reserved_by_worker.get(view.key.worker, ()):
                 found = state.find_task(task)
                 if found is not None:
-                    job, key, _, _ = found
-                    slot.take(job.spec.steps[key.step])
+                    slot.take(state.spec_of(found[1]))
             slots.append(slot)
         suspects = sum(slot.is_suspect for slot in slots)
         # So many at once speak of a fault that the workers don't have.
@@ -264,14 +270,12 @@
             trusted = fresh
         return [view for view in trusted if now >= view.refused_until]
 
-    def _slot(
-        self, state: state_lib.State, view: fleet_lib.WorkerView
-    ) -> placement.Slot:
+    def _slot(self, view: fleet_lib.WorkerView) -> placement.Slot:
         free = view.free()
         capacity = view.report.capacity.millicores
         idle = view.idle_millicores
         shares = dict(view.share_by_image)
-        for image, unused in self._neighbours.held_back(state, view).items():
+        for image, unused in self._neighbours.held_back(view.key).items():
             idle += unused
             shares[image] = shares.get(image, 0.0) - unused / max(1, capacity)
         return placement.Slot(
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -124,6 +124,11 @@
             model.TaskId, tuple[Job, StepKey, Step, Task]
         ] = {}
 
+    def has_active(self, job_id: model.JobId) -> bool:
+        """Whether a job is known and not over."""
+        job = self.job_by_id.get(job_id)
+        return job is not None and job.is_active
+
     def find_step(self, key: StepKey) -> Step | None:
         """Returns a step's progress, or None where it isn't known."""
         job = self.job_by_id.get(key.job)
