--- a/features/filling.feature
+++ b/features/filling.feature
@@ -45,19 +45,21 @@
       | lets in       | paused        | that  |
 
   Scenario: An image that finds no room keeps out no other of the same size
-    Given a worker with a serving task that one image disturbs much and one not at all
+    Given a worker of 64 cores with a serving task of 13 that one image disturbs much and one not at all
     When a filling task of each image waits, the disturbing one first
     Then only the one that disturbs nobody is given to the worker
 
   Scenario Outline: A filling task that would disturb everywhere, <age> s after its submission
-    Given a worker with a serving task that one image disturbs much and one not at all
+    Given a worker of <cores> cores with a serving task of 13 that one image disturbs much and one not at all
     When a filling task of the disturbing image has waited for <age> s
     Then it is given to <given> worker
 
     Examples:
-      | age | given |
-      | 1   | no    |
-      | 9   | that  |
+      | cores | age | given |
+      | 64    | 1   | no    |
+      | 64    | 9   | that  |
+      | 24    | 9   | that  |
+      | 22    | 9   | no    |
 
   Scenario Outline: A task that <asks> goes where <gap> cores are free
     Given workers with 4, 9 and 20 cores free
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -261,12 +261,13 @@
 
 
 @given(
-    "a worker with a serving task that one image disturbs much and one not at"
-    " all"
+    "a worker of {cores:d} cores with a serving task of 13 that one image"
+    " disturbs much and one not at all"
 )
-def step_two_images(context: Any) -> None:
+def step_two_images(context: Any, cores: int) -> None:
     context.bench = Bench()
-    context.bench.report(0.0, "w", 64_000)
+    context.cores = cores
+    context.bench.report(0.0, "w", cores * 1000)
     context.bench.dispatcher.neighbours.effects.inherit(
         [
             log_commands.LearnedEffect("heavy", "s", 30.0, 20),
@@ -276,7 +277,7 @@
     context.bench.submit("0a", _serving(13_000))
     assert len(context.bench.plan(0.1)) == 1
     running = (requests.RunningTask(model.TaskId("0a.0.0.0"), 1, "", 100, 60),)
-    context.bench.report(0.3, "w", 64_000, running)
+    context.bench.report(0.3, "w", cores * 1000, running)
 
 
 @when("a filling task of each image waits, the disturbing one first")
@@ -292,7 +293,7 @@
     bench.submit("0b", _filling(8_000, "heavy"))
     assert not bench.plan(0.4)
     running = (requests.RunningTask(model.TaskId("0a.0.0.0"), 1, "", 100, 60),)
-    bench.report(0.4 + age, "w", 64_000, running)
+    bench.report(0.4 + age, "w", context.cores * 1000, running)
     context.given = bench.plan(0.4 + age)
 
 
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -23,9 +23,11 @@
 # Age of a job from which its filling tasks may also go where their
 # neighbours leave them only a slow pace, so that none waits for ever.
 STARVED_AFTER_S = 8.0
-# Only while at least this part of the processors is idle: under overload most
-# jobs are that old, and the ones that disturb least go first.
-STARVED_IDLE_SHARE = 0.35
+# Only while at least this part of the processors is claimed by nobody: each
+# such start disturbs its neighbours until the worker follows its pace, and
+# under load most jobs are that old. Below half, so that a job is sure to run
+# on workers that are mostly free.
+STARVED_FREE_SHARE = 0.45
 
 
 class Planner:
@@ -86,8 +88,8 @@
         self._due = now + REPLAN_S
         self._open_when_planned = len(state.open_steps)
         slots_by_service: dict[model.ServiceName, list[placement.Slot]] = {}
-        # Share that is idle, until something is placed.
-        idle_by_service: dict[model.ServiceName, float] = {}
+        # Share that is claimed by nobody, until something is placed.
+        free_by_service: dict[model.ServiceName, float] = {}
         assignments: list[log_commands.Assignment] = []
         failed_needs: dict[
             tuple[str, bool, bool, str], list[tuple[int, int]]
@@ -107,10 +109,10 @@
             image = spec.image if spec.fills else ""
             is_starved = False
             if spec.fills and self._is_old(now, key.job):
-                idle = idle_by_service.get(service)
-                if idle is None:
-                    idle = idle_by_service[service] = _idle_share(slots)
-                is_starved = idle >= STARVED_IDLE_SHARE
+                free = free_by_service.get(service)
+                if free is None:
+                    free = free_by_service[service] = _free_share(slots)
+                is_starved = free >= STARVED_FREE_SHARE
             known = failed_needs.setdefault(
                 (service, spec.fills, is_starved, image), []
             )
@@ -126,7 +128,7 @@
                 slots, demand, self._neighbours.effects
             )
             if chosen:
-                idle_by_service.pop(service, None)
+                free_by_service.pop(service, None)
                 if is_starved:
                     self._neighbours.keep_in_place(key.job)
             is_plain = not (
@@ -300,6 +302,6 @@
         )
 
 
-def _idle_share(slots: list[placement.Slot]) -> float:
-    idle = sum(max(0, slot.idle_millicores) for slot in slots)
-    return idle / max(1, sum(slot.capacity_millicores for slot in slots))
+def _free_share(slots: list[placement.Slot]) -> float:
+    free = sum(max(0, slot.free_millicores) for slot in slots)
+    return free / max(1, sum(slot.capacity_millicores for slot in slots))
