Confirm requests of both kinds of keeper in one place

The keeper of the older model and the cluster's controller each held a copy of the list of requests that wait for a confirmed leadership. confirmations.py holds it once; no change of behaviour.

--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -10,8 +10,8 @@
 
 from fulmarrouter import addresses
 from fulmarrouter import codes
+from fulmarrouter import confirmations
 from fulmarrouter import consensus
-from fulmarrouter import ids
 from fulmarrouter import messages
 from fulmarrouter import raft_log
 from fulmarrouter.cluster import admission
@@ -25,9 +25,6 @@
 from fulmarrouter.cluster import state as state_lib
 
 SNAPSHOT_ENTRIES = 6_000  # Keeps a restart's replay under a second.
-# How long a request waits for its commit or confirmation before the caller
-# is sent elsewhere.
-READ_TIMEOUT_S = 2.0
 # How long the quorum may stay smaller than wanted before callers are served
 # all the same, where the deployment has fewer disks.
 OPEN_PATIENCE_S = 5.0
@@ -40,20 +37,8 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Client:
-    """Where a reply goes: a connection, 0 for this process, and a number."""
-
-    connection: ids.ConnectionId
-    call: ids.CallId
-
-
-@dataclasses.dataclass(frozen=True)
-class Answered:
-    """A reply that is ready to be sent."""
-
-    client: Client
-    reply: requests.AnyReply
+Client = confirmations.Client
+Answered = confirmations.Answered[requests.AnyReply]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,19 +54,6 @@
     control_port: int
 
 
-@dataclasses.dataclass(frozen=True)
-class _Waiting:
-    """A request whose reply needs a commit and a confirmed leadership."""
-
-    client: Client
-    request: requests.AnyRequest
-    needed_index: int
-    needed_round: int
-    term: int
-    expires_at: float
-    proposed_index: int = 0
-
-
 class Controller:
     """Core of a keeper process."""
 
@@ -102,8 +74,9 @@
         self._leading_term = 0
         self._in_office = False
         self._office_since = 0.0
-        self._waiting: list[_Waiting] = []
-        self._new: list[_Waiting] = []
+        self._confirmations: confirmations.Confirmations[
+            requests.AnyRequest
+        ] = confirmations.Confirmations(replica)
         self._answered: list[Answered] = []
         self._result_by_index: dict[int, state_lib.Result] = {}
         self._snapshot_index = replica.log.snapshot.last_index
@@ -161,18 +134,18 @@
                 self._on_report(now, client, request)
             case requests.WorkerLeft():
                 self._commit_all(self.dispatcher.on_left(self.state, request))
-                self._await(now, client, request)
+                self._confirmations.add(now, client, request)
             case requests.ReplaceConfiguration():
                 index = self._commit(
                     log_commands.ReplaceConfiguration(request.configuration)
                 )
-                self._await(now, client, request, index)
+                self._confirmations.add(now, client, request, index)
             case requests.SubmitJob():
                 self._on_submit(now, wall_ms, client, request)
             case requests.CancelJob():
                 self._on_cancel(now, client, request)
             case _:
-                self._await(now, client, request)
+                self._confirmations.add(now, client, request)
 
     def _on_join(self, now: float, request: requests.Join) -> None:
         self.announcements.note(
@@ -194,7 +167,7 @@
         index = self._commit_all(proposed)
         if index:
             self.dispatcher.note_proposed(request, index)
-        self._await(now, client, request)
+        self._confirmations.add(now, client, request)
 
     def _on_submit(
         self,
@@ -207,7 +180,7 @@
             self.state.configuration, request.host, request.path
         )
         if isinstance(target, queues.Unresolved) or target.job is None:
-            self._await(now, client, request)
+            self._confirmations.add(now, client, request)
             return
         if target.job not in self.state.job_by_id:
             verdict = admission.refusal(self.state)
@@ -222,7 +195,7 @@
                 target.job, target.queue, request.spec, wall_ms
             )
         )
-        self._await(now, client, request, index)
+        self._confirmations.add(now, client, request, index)
 
     def _on_cancel(
         self, now: float, client: Client, request: requests.CancelJob
@@ -233,26 +206,7 @@
         index = 0
         if isinstance(target, queues.Target) and target.job is not None:
             index = self._commit(log_commands.CancelJob(target.job))
-        self._await(now, client, request, index)
-
-    def _await(
-        self,
-        now: float,
-        client: Client,
-        request: requests.AnyRequest,
-        proposed_index: int = 0,
-    ) -> None:
-        self._new.append(
-            _Waiting(
-                client,
-                request,
-                needed_index=0,
-                needed_round=0,
-                term=self.replica.term,
-                expires_at=now + READ_TIMEOUT_S,
-                proposed_index=proposed_index,
-            )
-        )
+        self._confirmations.add(now, client, request, index)
 
     def _commit(self, command: log_commands.AnyCommand) -> int:
         index = self.replica.propose(log_commands.encode(command))
@@ -293,7 +247,7 @@
         self._follow_role(now, wall_ms)
         if self.in_office:
             self._lead(now, wall_ms)
-        self._start_confirmations()
+        self._confirmations.start()
         self.replica.flush(now)
 
     def _lead(self, now: float, wall_ms: int) -> None:
@@ -333,22 +287,6 @@
                 index=index,
             )
 
-    def _start_confirmations(self) -> None:
-        """Confirms leadership once for all requests of a batch."""
-        if not self._new:
-            return
-        read_round = self.replica.begin_read()
-        if read_round is None:
-            return
-        last = self.replica.log.last_index
-        self._waiting += [
-            dataclasses.replace(
-                item, needed_round=read_round, needed_index=last
-            )
-            for item in self._new
-        ]
-        self._new = []
-
     def _follow_role(self, now: float, wall_ms: int) -> None:
         if self.replica.is_leader and self._leading_term != self.replica.term:
             self._leave_office()
@@ -373,14 +311,12 @@
     def _leave_office(self) -> None:
         self._in_office = False
         self._leading_term = 0
-        for item in self._waiting + self._new:
+        for item in self._confirmations.take_all():
             if item.proposed_index:
                 code = codes.Code.PROPOSAL_UNKNOWN
             else:
                 code = codes.Code.NOT_LEADER
             self._refuse(item.client, code, leader=self.leader_address())
-        self._waiting = []
-        self._new = []
         self._result_by_index = {}
 
     # Output.
@@ -472,22 +408,18 @@
                 )
 
     def _answer_waiting(self, now: float) -> None:
-        still: list[_Waiting] = []
-        for item in self._waiting:
-            is_applied = self.replica.applied_index >= item.needed_index
-            if is_applied and self.replica.read_confirmed(item.needed_round):
-                reply = self._reply_to(now, item)
-                self._answered.append(Answered(item.client, reply))
-            elif now >= item.expires_at:
-                code = codes.Code.KEEPER_UNAVAILABLE
-                if item.proposed_index:
-                    code = codes.Code.PROPOSAL_UNKNOWN
-                self._refuse(item.client, code)
-            else:
-                still.append(item)
-        self._waiting = still
+        for item in self._confirmations.take_confirmed():
+            reply = self._reply_to(now, item)
+            self._answered.append(Answered(item.client, reply))
+        for item in self._confirmations.take_expired(now):
+            code = codes.Code.KEEPER_UNAVAILABLE
+            if item.proposed_index:
+                code = codes.Code.PROPOSAL_UNKNOWN
+            self._refuse(item.client, code)
 
-    def _reply_to(self, now: float, item: _Waiting) -> requests.AnyReply:
+    def _reply_to(
+        self, now: float, item: confirmations.Waiting[requests.AnyRequest]
+    ) -> requests.AnyReply:
         result = self._result_by_index.pop(item.proposed_index, None)
         match item.request:
             case requests.WorkerReport():
--- a/fulmarrouter/keeper.py
+++ b/fulmarrouter/keeper.py
@@ -9,8 +9,8 @@
 
 from fulmarrouter import codes
 from fulmarrouter import commands
+from fulmarrouter import confirmations
 from fulmarrouter import consensus
-from fulmarrouter import ids
 from fulmarrouter import leader as leader_lib
 from fulmarrouter import machine
 from fulmarrouter import messages
@@ -20,7 +20,6 @@
 from fulmarrouter import state as state_lib
 
 SNAPSHOT_ENTRIES = 10_000
-READ_TIMEOUT_S = 2.0
 
 PROPOSABLE = (
     commands.OpenSession,
@@ -35,20 +34,8 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Client:
-    """Where a reply goes: a connection, and the request's number on it."""
-
-    connection: ids.ConnectionId
-    request: ids.CallId
-
-
-@dataclasses.dataclass(frozen=True)
-class Answered:
-    """A reply that is ready to be sent."""
-
-    client: Client
-    reply: requests.AnyReply
+Client = confirmations.Client
+Answered = confirmations.Answered[requests.AnyReply]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,15 +44,6 @@
     term: int
 
 
-@dataclasses.dataclass(frozen=True)
-class _PendingRead:
-    client: Client
-    request: requests.AnyRequest
-    needed_index: int
-    needed_round: int
-    expires_at: float
-
-
 class Keeper:
     """Core of a keeper process."""
 
@@ -83,8 +61,9 @@
         self._in_office = False
         self._planned_index = 0
         self._proposal_by_index: dict[int, _PendingProposal] = {}
-        self._reads: list[_PendingRead] = []
-        self._new_reads: list[_PendingRead] = []
+        self._reads: confirmations.Confirmations[requests.AnyRequest] = (
+            confirmations.Confirmations(replica)
+        )
         self._answered: list[Answered] = []
         self._snapshot_index = replica.log.snapshot.last_index
 
@@ -110,21 +89,13 @@
             return
         for command in self._commands_of(now, wall_ms, request):
             self.replica.propose(commands.encode(command))
-        self._new_reads.append(
-            _PendingRead(
-                client,
-                request,
-                needed_index=self.replica.log.last_index,
-                needed_round=0,
-                expires_at=now + READ_TIMEOUT_S,
-            )
-        )
+        self._reads.add(now, client, request)
 
     def tick(self, now: float, wall_ms: int) -> None:
         """Acts on time; called at least once for each batch of input."""
         self.replica.tick(now)
         self._follow_role(now, wall_ms)
-        self._start_reads()
+        self._reads.start()
         if self._in_office and self.replica.leads_with_committed_entry:
             self._plan(now, wall_ms)
             self._reconcile_keepers(now)
@@ -221,36 +192,15 @@
             )
             self._answered.append(Answered(pending.client, unknown))
         self._proposal_by_index = {}
-        for read in self._reads + self._new_reads:
+        for read in self._reads.take_all():
             self._refuse(read.client)
-        self._reads = []
-        self._new_reads = []
-
-    def _start_reads(self) -> None:
-        """Confirms leadership once for all requests of a batch."""
-        if not self._new_reads:
-            return
-        read_round = self.replica.begin_read()
-        if read_round is None:
-            return
-        self._reads += [
-            dataclasses.replace(read, needed_round=read_round)
-            for read in self._new_reads
-        ]
-        self._new_reads = []
 
     def _answer_reads(self, now: float) -> None:
-        waiting: list[_PendingRead] = []
-        for read in self._reads:
-            is_applied = self.replica.applied_index >= read.needed_index
-            if is_applied and self.replica.read_confirmed(read.needed_round):
-                reply = self._reply_to(now, read.request)
-                self._answered.append(Answered(read.client, reply))
-            elif now >= read.expires_at:
-                self._refuse(read.client)
-            else:
-                waiting.append(read)
-        self._reads = waiting
+        for read in self._reads.take_confirmed():
+            reply = self._reply_to(now, read.request)
+            self._answered.append(Answered(read.client, reply))
+        for read in self._reads.take_expired(now):
+            self._refuse(read.client)
 
     def _reply_to(
         self, now: float, request: requests.AnyRequest
--- a/fulmarrouter/keeper_task.py
+++ b/fulmarrouter/keeper_task.py
@@ -127,7 +127,7 @@
             self._metrics.count(
                 "keeper_refusals", reason=answered.reply.code.name
             )
-        body = wire.CallReply(answered.client.request, payload)
+        body = wire.CallReply(answered.client.call, payload)
         self._network.post(network.SendOn(answered.client.connection, body))
 
     def _store_snapshot(self) -> None:
