--- a/bench/load_player.py
+++ b/bench/load_player.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 import math
@@ -140,17 +141,32 @@
 
 
 class Player:
-    """One scenario with one seed."""
+    """One scenario with one seed.
 
-    def __init__(self, scenario: Scenario, seed: int) -> None:
+    Args:
+        scenario: The load and the workers.
+        seed: Decides everything that is random.
+        seconds: How long jobs arrive, if not as long as the scenario says.
+
+    Attributes:
+        dispatcher: What plans and gives orders.
+        after_round: Called with the time and the state after each round.
+    """
+
+    def __init__(
+        self, scenario: Scenario, seed: int, seconds: float | None = None
+    ) -> None:
+        if seconds is not None:
+            scenario = dataclasses.replace(scenario, seconds=seconds)
+        self.after_round: Callable[[float, state_lib.State], None] | None = None
         self._scenario = scenario
         self._rng = random.Random(seed)
         self._state = state_lib.State()
         self._state.is_open = True
-        self._dispatcher = dispatcher_lib.Dispatcher(
+        self.dispatcher = dispatcher_lib.Dispatcher(
             dispatcher_lib.DispatchSettings()
         )
-        self._dispatcher.take_office(WARM_UP_FROM_S, self._state)
+        self.dispatcher.take_office(WARM_UP_FROM_S, self._state)
         self._index = 0
         self._submitted: dict[model.JobId, _Submitted] = {}
         self._work_ms: dict[model.TaskId, float] = {}
@@ -345,24 +361,26 @@
                 continue
             worker.sequence += 1
             report = self._report_of(worker)
-            proposed = self._dispatcher.on_report(now, self._state, report)
+            proposed = self.dispatcher.on_report(now, self._state, report)
             assert proposed is not None
-            proposed += self._dispatcher.absent_runs(now, self._state, report)
+            proposed += self.dispatcher.absent_runs(now, self._state, report)
             for command in proposed:
                 self._apply(command)
             if proposed:
-                self._dispatcher.note_proposed(report, self._index)
+                self.dispatcher.note_proposed(report, self._index)
             reported.append((worker, report))
         self._applied()
-        for command in self._dispatcher.expire(now, self._state):
+        for command in self.dispatcher.expire(now, self._state):
             self._apply(command)
-        planned = self._dispatcher.planner.plan(now, self._state)
+        planned = self.dispatcher.planner.plan(now, self._state)
         if planned is not None:
             self._apply(planned)
-            self._dispatcher.planner.on_assigned(planned)
+            self.dispatcher.planner.on_assigned(planned)
         self._applied()
+        if self.after_round is not None:
+            self.after_round(now, self._state)
         for worker, report in reported:
-            orders = self._dispatcher.orders(now, self._state, report, 1)
+            orders = self.dispatcher.orders(now, self._state, report, 1)
             self._obey(now, worker, orders)
 
     def _apply(self, command: log_commands.AnyCommand) -> None:
@@ -370,7 +388,7 @@
         self._state.apply(self._index, command)
 
     def _applied(self) -> None:
-        self._dispatcher.on_applied(self._state, self._index)
+        self.dispatcher.on_applied(self._state, self._index)
 
     def _report_of(self, worker: _Worker) -> requests.WorkerReport:
         return requests.WorkerReport(
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -61,12 +61,15 @@
         worker: str,
         millicores: int,
         running: tuple[requests.RunningTask, ...] = (),
+        ended: tuple[requests.EndedRun, ...] = (),
+        draining: bool = False,
+        incarnation: int = 1,
     ) -> requests.Orders:
         """Has a worker report; returns the orders that it gets."""
         self._sequence += 1
         report = requests.WorkerReport(
             model.WorkerId(worker),
-            1,
+            incarnation,
             self._sequence,
             SERVICE,
             "",
@@ -75,16 +78,18 @@
             "r",
             (),
             commands.Resources(millicores, 100_000, 0),
-            False,
+            draining,
             0,
             running,
-            (),
+            ended,
         )
-        self.dispatcher.on_report(now, self.state, report)
+        for command in self.dispatcher.on_report(now, self.state, report) or ():
+            self.commit(command)
         return self.dispatcher.orders(now, self.state, report, 1)
 
 
-def _ordinary(millicores: int) -> model.StepSpec:
+def ordinary(millicores: int) -> model.StepSpec:
+    """Returns a step of one ordinary task."""
     return model.StepSpec(1, commands.Resources(millicores, 10, 0), 1000)
 
 
@@ -311,8 +316,8 @@
 
 
 @when("an ordinary task of {cores:d} cores waits")
-def step_ordinary(context: Any, cores: int) -> None:
-    context.bench.submit("0a", _ordinary(cores * 1000))
+def stepordinary(context: Any, cores: int) -> None:
+    context.bench.submit("0a", ordinary(cores * 1000))
     context.given = context.bench.plan(0.1)
 
 
@@ -355,7 +360,7 @@
     queue = model.Queue(
         model.QueueName("q"), "h", "/q/", SERVICE, 3000, 0, allowed
     )
-    spec = model.JobSpec("payload", (_ordinary(1000),))
+    spec = model.JobSpec("payload", (ordinary(1000),))
     bench = context.bench
     bench.commit(log_commands.SubmitJob(model.JobId("0a"), queue, spec, 0))
     found = bench.state.find_task(model.TaskId("0a.0.0.0"))
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -339,7 +339,7 @@
         if entries and self._in_office:
             self.dispatcher.on_applied(self.state, self.replica.applied_index)
         elif entries:
-            self.state.touched_workers.clear()
+            self.state.forget_changes()
         self._follow_role(now, wall_ms)
         self._answer_waiting(now)
         answered = self._answered
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -139,7 +139,7 @@
         ends = self._new_ends(now, state, view)
         if ends:
             proposed.append(log_commands.EndRuns(tuple(ends)))
-        view.is_stale = True
+        self.fleet.note_changed(report.worker)
         self.neighbours.on_report(now, state, view)
         self._stop_stalled(now, state, view)
         return proposed
@@ -296,7 +296,7 @@
                 or key.incarnation <= request.incarnation
             ):
                 found += self._lost_runs(state, key)
-        self.fleet.view_by_id.pop(request.worker, None)
+        self.fleet.remove(request.worker)
         return found
 
     # Time.
@@ -330,7 +330,7 @@
                     silent_s=round(now - view.heard_at, 1),
                 )
                 self.neighbours.forget_worker(view.key)
-                del self.fleet.view_by_id[worker]
+                self.fleet.remove(worker)
         return found
 
     def effects_to_keep(self, now: float) -> list[log_commands.AnyCommand]:
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -84,12 +84,35 @@
         """Room that no assigned run takes."""
         return self.report.capacity.minus(self.used)
 
+    def is_fresh(self, now: float) -> bool:
+        """Whether it has been heard of of late, so that it may get new work."""
+        return now - self.heard_at <= FRESH_S
+
 
 class Fleet:
     """All workers that the leader has heard of."""
 
     def __init__(self) -> None:
         self.view_by_id: dict[model.WorkerId, WorkerView] = {}
+        self._changed: dict[model.WorkerId, None] = {}  # In order.
+
+    def note_changed(self, worker: model.WorkerId) -> None:
+        """Notes that a worker's room may have changed."""
+        self._changed[worker] = None
+        view = self.view_by_id.get(worker)
+        if view is not None:
+            view.is_stale = True
+
+    def take_changed(self) -> list[model.WorkerId]:
+        """Returns the workers noted as changed since the last call."""
+        taken = list(self._changed)
+        self._changed.clear()
+        return taken
+
+    def remove(self, worker: model.WorkerId) -> None:
+        """Drops a worker that has ended."""
+        if self.view_by_id.pop(worker, None) is not None:
+            self._changed[worker] = None
 
     def refresh_used(self, state: state_lib.State, view: WorkerView) -> None:
         """Recomputes the room taken on a worker, if it may have changed."""
@@ -140,5 +163,5 @@
         for key in state.touched_workers:
             view = self.view_by_id.get(key.worker)
             if view is not None and view.key == key:
-                view.is_stale = True
+                self.note_changed(key.worker)
         state.touched_workers.clear()
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -1,12 +1,14 @@
 """Chooses workers for the waiting tasks of a step.
 
 Load it answers: hundreds of waiting tasks of unequal sizes on workers that
-are mostly full, some of them disturbed by what runs beside. The cost of a
-decision grows with the number of workers of the service, not with what waits.
+are mostly full, some of them disturbed by what runs beside. The workers are
+ranked once for a step; each further task of it costs a look at the best one.
 """
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import heapq
 
 from fulmarrouter import commands
 from fulmarrouter.cluster import disturbance
@@ -41,6 +43,8 @@
         serving_by_image: Number of its serving tasks.
         is_suspect: Whether a task failed here since the last success.
         max_new: Tasks that may still be placed here.
+        left_by_image: Headroom that its filling tasks leave to its serving
+            tasks; None until it is needed.
     """
 
     worker: model.WorkerId
@@ -57,6 +61,7 @@
     serving_by_image: dict[str, int] = dataclasses.field(default_factory=dict)
     is_suspect: bool = False
     max_new: int = UNLIMITED
+    left_by_image: dict[str, float] | None = None
 
     def fits(self, needs: commands.Resources, fills: bool) -> bool:
         """Whether there is room for one more task."""
@@ -79,6 +84,7 @@
             shares = dict(self.share_by_image)
             shares[spec.image] = shares.get(spec.image, 0.0) + self.share(spec)
             self.share_by_image = shares
+            self.left_by_image = None
         else:
             self.free_millicores -= spec.needs.millicores
         if spec.tail_target_ms:
@@ -114,32 +120,34 @@
     is_starved: bool = False
 
 
-@dataclasses.dataclass(frozen=True)
 class _Rank:
-    """Compares workers for a task; the highest is taken."""
+    """Compares workers for the tasks of one step; the highest is taken."""
 
-    effects: disturbance.DisturbanceModel
-    is_starved: bool = False
+    def __init__(
+        self, effects: disturbance.DisturbanceModel, demand: Demand
+    ) -> None:
+        self._effects = effects
+        self._spec = demand.spec
+        self._is_starved = demand.is_starved
+        self._effect_by_serving: dict[str, float] = {}
 
-    def of(
-        self, slot: Slot, spec: model.StepSpec, same_step: int
-    ) -> tuple[float, float] | None:
-        """Returns a worker's rank, or None where the task may not go.
+    def of(self, slot: Slot, same_step: int) -> tuple[float, float] | None:
+        """Returns a worker's rank, or None where the tasks may not go.
 
         Args:
             slot: The worker.
-            spec: The task's step.
-            same_step: Tasks of that step that are on the worker already.
+            same_step: Tasks of the step that are on the worker already.
         """
+        spec = self._spec
         if spec.fills:
-            return self._of_filling(slot, spec)
-        idle = slot.idle_millicores / max(1, slot.capacity_millicores)
+            return self._of_filling(slot)
         if not spec.tail_target_ms:
             # The smallest gap that is large enough keeps larger ones free.
             return (0.0, float(-slot.free_millicores))
         # The least headroom on a worker decides what fits beside. Tasks of one
         # job rise and fall together and tasks of one image bear the same
         # neighbours, so a worker with few of either has room more often.
+        idle = slot.idle_millicores / max(1, slot.capacity_millicores)
         serving = sum(slot.serving_by_image.values())
         if not serving:
             return (EMPTY_KINSHIP, idle)
@@ -149,58 +157,108 @@
         ) / serving
         return (kinship, idle)
 
-    def _of_filling(
-        self, slot: Slot, spec: model.StepSpec
-    ) -> tuple[float, float] | None:
+    def _of_filling(self, slot: Slot) -> tuple[float, float] | None:
         """Prefers workers whose serving tasks lose little by the task."""
-        share = slot.share(spec)
+        share = slot.share(self._spec)
         lost = 0.0
-        for image, alone in slot.alone_by_image.items():
-            added = self.effects.effect(spec.image, image) * share
-            held = self.effects.loss(image, slot.share_by_image)
-            left = alone - held
+        for image, left in self._headroom_left(slot).items():
+            added = self._effect_on(image) * share
             if added <= HARMLESS_LOSS:
                 continue
             takes_much = (
                 left - added < pacing.PLACE_ABOVE or added > MAX_LOSS * left
             )
-            if takes_much and not self.is_starved:
+            if takes_much and not self._is_starved:
                 return None
             lost = max(lost, added / max(left, LEAST_HEADROOM))
         return (-lost, float(slot.idle_millicores))
 
+    def _headroom_left(self, slot: Slot) -> dict[str, float]:
+        if slot.left_by_image is None:
+            slot.left_by_image = {
+                image: alone - self._effects.loss(image, slot.share_by_image)
+                for image, alone in slot.alone_by_image.items()
+            }
+        return slot.left_by_image
 
-def _choose(
-    slots: Sequence[Slot], demand: Demand, index: int, rank: _Rank
-) -> Slot | None:
-    spec = demand.spec
-    avoided = demand.avoided_by_index.get(index, "")
-    is_last_attempt = index in demand.last_attempts
-    best: Slot | None = None
-    best_rank: tuple[bool, bool, tuple[float, float]] | None = None
-    for slot in slots:
+    def _effect_on(self, serving: str) -> float:
+        known = self._effect_by_serving.get(serving)
+        if known is None:
+            known = self._effects.effect(self._spec.image, serving)
+            self._effect_by_serving[serving] = known
+        return known
+
+
+class _Ranking:
+    """The workers that a step's tasks may go to, best first."""
+
+    def __init__(
+        self, slots: Iterable[Slot], demand: Demand, rank: _Rank
+    ) -> None:
+        self._demand = demand
+        self._rank = rank
+        self._counts = dict(demand.count_by_worker)
+        self._heap: list[tuple[bool, float, float, int, Slot]] = []
+        for order, slot in enumerate(slots):
+            item = self._item(slot, order)
+            if item is not None:
+                self._heap.append(item)
+        heapq.heapify(self._heap)
+
+    def take(self, index: int) -> Slot | None:
+        """Places one task; returns its worker, or None if it fits nowhere.
+
+        The worker on which it failed last is taken if there is no other, and
+        a suspect one isn't taken for a last attempt.
+        """
+        avoided = self._demand.avoided_by_index.get(index, "")
+        is_last_attempt = index in self._demand.last_attempts
+        passed_over = []
+        found = None
+        fallback = None
+        while self._heap:
+            item = heapq.heappop(self._heap)
+            if is_last_attempt and item[-1].is_suspect:
+                passed_over.append(item)
+            elif item[-1].worker == avoided:
+                fallback = item
+            else:
+                found = item
+                break
+        if found is None:
+            found = fallback
+        elif fallback is not None:
+            passed_over.append(fallback)
+        for item in passed_over:
+            heapq.heappush(self._heap, item)
+        if found is None:
+            return None
+        slot = found[-1]
+        slot.take(self._demand.spec)
+        self._counts[slot.worker] = self._counts.get(slot.worker, 0) + 1
+        again = self._item(slot, found[-2])
+        if again is not None:
+            heapq.heappush(self._heap, again)
+        return slot
+
+    def _item(
+        self, slot: Slot, order: int
+    ) -> tuple[bool, float, float, int, Slot] | None:
+        spec = self._demand.spec
         if not slot.fits(spec.needs, spec.fills):
-            continue
-        if is_last_attempt and slot.is_suspect:
-            continue
-        if spec.max_per_worker and (
-            demand.count_by_worker.get(slot.worker, 0) >= spec.max_per_worker
-        ):
-            continue
-        own_rank = rank.of(
-            slot, spec, demand.count_by_worker.get(slot.worker, 0)
-        )
-        if own_rank is None:
-            continue
-        is_near = not spec.near_rack or slot.rack == spec.near_rack
-        found = (slot.worker != avoided, is_near, own_rank)
-        if best_rank is None or found > best_rank:
-            best, best_rank = slot, found
-    return best
+            return None
+        same_step = self._counts.get(slot.worker, 0)
+        if spec.max_per_worker and same_step >= spec.max_per_worker:
+            return None
+        rank = self._rank.of(slot, same_step)
+        if rank is None:
+            return None
+        is_far = bool(spec.near_rack) and slot.rack != spec.near_rack
+        return (is_far, -rank[0], -rank[1], order, slot)
 
 
 def place_step(
-    slots: Sequence[Slot],
+    slots: Iterable[Slot],
     demand: Demand,
     effects: disturbance.DisturbanceModel,
 ) -> list[tuple[int, Slot]]:
@@ -212,7 +270,7 @@
         Pairs of a task's index and its worker; the slots are updated.
     """
     spec = demand.spec
-    rank = _Rank(effects, demand.is_starved)
+    rank = _Rank(effects, demand)
     usable = [
         slot
         for slot in slots
@@ -245,27 +303,26 @@
 def _place(
     slots: Sequence[Slot], demand: Demand, rank: _Rank, whole: bool = False
 ) -> list[tuple[int, Slot]]:
-    spec = demand.spec
-    must_be_whole = whole or spec.gang
+    if not (whole or demand.spec.gang):
+        return _place_each(_Ranking(slots, demand, rank), demand)
     trial = [dataclasses.replace(slot) for slot in slots]
-    targets = trial if must_be_whole else list(slots)
+    found = _place_each(_Ranking(trial, demand, rank), demand)
+    if len(found) < len(demand.indices):
+        return []
     original_by_worker = {slot.worker: slot for slot in slots}
-    counts = dict(demand.count_by_worker)
-    working = dataclasses.replace(demand, count_by_worker=counts)
+    chosen = [(index, original_by_worker[slot.worker]) for index, slot in found]
+    for _, slot in chosen:
+        slot.take(demand.spec)
+    return chosen
+
+
+def _place_each(ranking: _Ranking, demand: Demand) -> list[tuple[int, Slot]]:
     chosen: list[tuple[int, Slot]] = []
     for index in demand.indices:
-        slot = _choose(targets, working, index, rank)
-        if slot is None:
-            if index in demand.last_attempts and not must_be_whole:
-                continue
+        slot = ranking.take(index)
+        if slot is not None:
+            chosen.append((index, slot))
+        elif index not in demand.last_attempts:
+            # Nothing holds a further task of the step either.
             break
-        slot.take(spec)
-        counts[slot.worker] = counts.get(slot.worker, 0) + 1
-        chosen.append((index, original_by_worker[slot.worker]))
-    if not must_be_whole:
-        return chosen
-    if len(chosen) < len(demand.indices):
-        return []
-    for _, slot in chosen:
-        slot.take(spec)
     return chosen
--- /dev/null
+++ b/fulmarrouter/cluster/searches.py
@@ -0,0 +1,127 @@
+"""What earlier searches for room have shown, so that none is repeated.
+
+Load it answers: hundreds of waiting steps that fit nowhere on full workers. A
+step that has found no room looks only at workers that have changed since; so
+does one of the same kind that asks for at least as much.
+"""
+
+from collections.abc import Container
+import dataclasses
+
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import state as state_lib
+
+# Searches that are remembered of each kind; the oldest are dropped first.
+MAX_FAILURES = 16
+
+
+@dataclasses.dataclass(frozen=True)
+class Search:
+    """One step's search for room."""
+
+    key: state_lib.StepKey
+    service: model.ServiceName
+    spec: model.StepSpec
+    is_starved: bool
+
+    @property
+    def is_plain(self) -> bool:
+        """Whether only room and neighbours decide where the step fits."""
+        spec = self.spec
+        return not (
+            spec.gang
+            or spec.colocate
+            or spec.required_label
+            or spec.max_per_worker
+        )
+
+    @property
+    def needs_many(self) -> bool:
+        """Whether several workers together decide whether it fits."""
+        return self.spec.gang or self.spec.colocate
+
+    @property
+    def kind(self) -> tuple[model.ServiceName, bool, bool, str]:
+        """What it has in common with searches that find the same."""
+        # What a filling task finds depends on its image too.
+        image = self.spec.image if self.spec.fills else ""
+        return (self.service, self.spec.fills, self.is_starved, image)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Failure:
+    """Tasks of this size fit on no worker as of a version."""
+
+    millicores: int
+    memory_mb: int
+    accelerators: int
+    version: int
+
+    def covers(self, spec: model.StepSpec) -> bool:
+        """Whether tasks of a step can't fit either."""
+        return (
+            spec.needs.millicores >= self.millicores
+            and spec.needs.memory_mb >= self.memory_mb
+            and spec.needs.accelerators >= self.accelerators
+        )
+
+
+class Searches:
+    """Versions of the room index up to which searches have failed."""
+
+    def __init__(self) -> None:
+        self._version_by_step: dict[tuple[state_lib.StepKey, bool], int] = {}
+        self._failures_by_kind: dict[
+            tuple[model.ServiceName, bool, bool, str], list[_Failure]
+        ] = {}
+
+    def known_version(self, search: Search) -> int:
+        """Returns the version of the index that needs no further search."""
+        if search.needs_many:
+            return 0
+        version = self._version_by_step.get((search.key, search.is_starved), 0)
+        if not search.is_plain:
+            return version
+        for failure in self._failures_by_kind.get(search.kind, ()):
+            if failure.version > version and failure.covers(search.spec):
+                version = failure.version
+        return version
+
+    def note_failure(
+        self, search: Search, version: int, is_for_all: bool
+    ) -> None:
+        """Notes that a step fits on no worker as of a version.
+
+        Args:
+            search: The step's search.
+            version: The index's version.
+            is_for_all: Whether other steps of the kind fit nowhere either.
+        """
+        if search.needs_many:
+            return
+        self._version_by_step[search.key, search.is_starved] = version
+        if not search.is_plain or not is_for_all:
+            return
+        needs = search.spec.needs
+        found = _Failure(
+            needs.millicores, needs.memory_mb, needs.accelerators, version
+        )
+        failures = self._failures_by_kind.setdefault(search.kind, [])
+        failures[:] = [item for item in failures if not _is_within(item, found)]
+        failures.append(found)
+        del failures[:-MAX_FAILURES]
+
+    def keep_only(self, keys: Container[state_lib.StepKey]) -> None:
+        """Drops what is known of steps that no longer wait."""
+        for known in list(self._version_by_step):
+            if known[0] not in keys:
+                del self._version_by_step[known]
+
+
+def _is_within(old: _Failure, new: _Failure) -> bool:
+    """Whether a failure says nothing that a newer one doesn't say."""
+    return (
+        old.millicores >= new.millicores
+        and old.memory_mb >= new.memory_mb
+        and old.accelerators >= new.accelerators
+    )
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -114,7 +114,8 @@
         self.job_by_id: dict[model.JobId, Job] = {}
         self.open_steps: dict[StepKey, Step] = {}
         self.runs_by_worker: dict[WorkerKey, dict[model.TaskId, int]] = {}
-        self.touched_workers: set[WorkerKey] = set()
+        self.touched_workers: dict[WorkerKey, None] = {}  # In order.
+        self._opened_steps: dict[StepKey, None] = {}  # In order.
         self.timed_job_by_id: dict[model.JobId, Job] = {}
         self.effect_by_pair: dict[
             tuple[str, str], log_commands.LearnedEffect
@@ -158,6 +159,22 @@
         self._found_by_task[task_id] = found
         return found
 
+    def take_opened_steps(self) -> list[StepKey]:
+        """Returns the steps that have got waiting tasks since the last call."""
+        taken = list(self._opened_steps)
+        self._opened_steps.clear()
+        return taken
+
+    def forget_changes(self) -> None:
+        """Drops what only a leader follows."""
+        self.touched_workers.clear()
+        self._opened_steps.clear()
+
+    def note_opened(self, key: StepKey, step: Step) -> None:
+        """Notes that a step has waiting tasks whose turn has come."""
+        self.open_steps[key] = step
+        self._opened_steps[key] = None
+
     def spec_of(self, key: StepKey) -> model.StepSpec:
         """Returns what was submitted for a step that is known."""
         return self.job_by_id[key.job].spec.steps[key.step]
@@ -298,7 +315,7 @@
 def _open_if_ready(state: State, job: Job, key: StepKey) -> None:
     step = job.steps_by_occurrence[key.occurrence][key.step]
     if step.waiting and _is_ready(job, key):
-        state.open_steps[key] = step
+        state.note_opened(key, step)
 
 
 @_applies(log_commands.OpenOccurrence)
@@ -364,7 +381,7 @@
             state.open_steps.pop(key, None)
         worker = WorkerKey(item.worker, item.incarnation)
         state.runs_by_worker.setdefault(worker, {})[item.task] = item.run
-        state.touched_workers.add(worker)
+        state.touched_workers[worker] = None
     return Result.APPLIED
 
 
@@ -446,7 +463,7 @@
     del runs[end.task]
     if not runs:
         del state.runs_by_worker[worker]
-    state.touched_workers.add(worker)
+    state.touched_workers[worker] = None
 
 
 def _complete(
