Spread workers' reports over the keepers and answer ends with new starts

Cause: with 270 workers that report every 100 ms a leader would read 2,700 reports a second at 0.45 ms each (0.3 ms for what they say, 0.16 ms to read the HTTP request and JSON), and a task placed in room that has just become free waited for one more report of its worker.

- relays: above 48 workers the other keepers read the reports and pass them on.
- confirmations: one round of heartbeats at a time confirms what has arrived meanwhile; a round older than a second (a paused process) is confirmed anew before anything is answered.
- disturbance: what a job's readings come to is worked out ten times a second.

Tests: features/reporting.feature.

--- /dev/null
+++ b/features/reporting.feature
@@ -0,0 +1,61 @@
+Feature: A leader of many workers reads no more reports than it can
+
+  Scenario Outline: <workers> workers with <free> of 64 cores free
+    When a worker with <free> of 64 cores free is told when to report, among <workers>
+    Then it reports again after <after> ms
+
+    Examples:
+      | workers | free | after |
+      | 24      | 10   | 100   |
+      | 24      | 1    | 400   |
+      | 176     | 10   | 352   |
+      | 176     | 1    | 400   |
+      | 270     | 10   | 540   |
+      | 270     | 1    | 540   |
+      | 7400    | 10   | 800   |
+
+  Scenario Outline: <workers> workers, <others> other keepers in touch
+    When <workers> workers are told where to report, with <others> other keepers in touch
+    Then the leader takes <leader> of them and each other keeper at least <each>
+
+    Examples:
+      | workers | others | leader | each |
+      | 24      | 3      | 24     | 0    |
+      | 270     | 0      | 270    | 0    |
+      | 270     | 1      | 0      | 270  |
+      | 270     | 5      | 0      | 27   |
+
+  Scenario: A keeper that fails moves only its own workers
+    When 270 workers are told where to report and one of 5 other keepers fails
+    Then no worker of the remaining keepers is told otherwise
+
+  Scenario Outline: The room that an end leaves, while <waiting> tasks wait
+    Given a leading controller and a worker whose task ends, while <waiting> tasks wait
+    When the end is reported
+    Then the answer comes <when> and starts <starts> tasks
+
+    Examples:
+      | waiting | when                      | starts |
+      | 0       | at once                   | 0      |
+      | 1       | after room was planned for | 1      |
+
+  Scenario Outline: A leader that is paused for <pause> s after a report was confirmed
+    Given a leading controller and a worker whose task ends, while 1 tasks wait
+    When the end is reported and the leader is paused for <pause> s
+    Then it <verdict> before it answers
+
+    Examples:
+      | pause | verdict                      |
+      | 0.1   | needs no new confirmation    |
+      | 1.5   | asks for a new confirmation  |
+
+  Scenario Outline: <requests> requests within <span> ms while a confirmation takes <round> ms
+    When <requests> requests arrive within <span> ms and each confirmation takes <round> ms
+    Then at most <rounds> confirmations are started and all are answered
+
+    Examples:
+      | requests | span | round | rounds |
+      | 1        | 1    | 3     | 1      |
+      | 100      | 100  | 3     | 26     |
+      | 100      | 100  | 10    | 11     |
+      | 100      | 1    | 10    | 2      |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -34,6 +34,7 @@
 CONTROL_PORT = 18163
 PEER_PORT = 18164
 START_TIMEOUT_S = 20.0
+LOG_DELAY_S = 2.0  # From a decision to its line in the log.
 FAILING_PAYLOAD = "fail"
 
 
@@ -449,8 +450,16 @@
 def step_explain(context: Any) -> None:
     job = context.path.rpartition("/")[2]
     found: list[str] = []
-    for item in context.processes:
-        found += item.log_lines("event='job ended'", job, "FAILED")
+
+    def is_written() -> bool:
+        found[:] = [
+            line
+            for item in context.processes
+            for line in item.log_lines("event='job ended'", job, "FAILED")
+        ]
+        return bool(found)
+
+    _wait_for(LOG_DELAY_S, is_written)
     assert len(found) == 1, found
     runs = [
         line
@@ -502,7 +511,16 @@
             "PROPOSAL_UNKNOWN",
         ),
     }
-    lines = context.entry.log_lines("event='request refused'", context.request)
+    lines: list[str] = []
+
+    def is_written() -> bool:
+        # The line follows the answer, on the same turn of the process.
+        lines[:] = context.entry.log_lines(
+            "event='request refused'", context.request
+        )
+        return bool(lines)
+
+    _wait_for(LOG_DELAY_S, is_written)
     assert len(lines) == 1, lines
     assert any(code in lines[0] for code in codes_by_reason[reason]), lines
 
--- /dev/null
+++ b/features/steps/reporting_steps.py
@@ -0,0 +1,303 @@
+"""Steps on when and where workers report, and on confirmed answers."""
+
+import dataclasses
+import random
+from typing import Any
+from typing import cast
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps import filling_steps
+from fulmarrouter import commands
+from fulmarrouter import confirmations
+from fulmarrouter import consensus
+from fulmarrouter import ids
+from fulmarrouter import messages
+from fulmarrouter import raft_log
+from fulmarrouter.cluster import controller as controller_lib
+from fulmarrouter.cluster import dispatcher
+from fulmarrouter.cluster import log_commands
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import relays
+from fulmarrouter.cluster import report_timing
+from fulmarrouter.cluster import requests
+
+TURN_S = 0.005
+CONTROL_PORT = 8166
+CLIENT = confirmations.Client(ids.ConnectionId(1), ids.CallId(1))
+
+
+# When and where.
+
+
+@when(
+    "a worker with {free:d} of 64 cores free is told when to report, among"
+    " {workers:d}"
+)
+def step_next_report(context: Any, free: int, workers: int) -> None:
+    context.next_ms = report_timing.next_report_ms(free * 1000, 64_000, workers)
+
+
+@then("it reports again after {after:d} ms")
+def step_after(context: Any, after: int) -> None:
+    assert context.next_ms == after, context.next_ms
+
+
+def _told(workers: int, others: list[str]) -> dict[str, str]:
+    return {
+        f"w{n}": relays.choose(f"w{n}", "leader", others, workers)
+        for n in range(workers)
+    }
+
+
+@when(
+    "{workers:d} workers are told where to report, with {others:d} other"
+    " keepers in touch"
+)
+def step_told(context: Any, workers: int, others: int) -> None:
+    context.others = [f"10.0.0.{n}" for n in range(others)]
+    context.told = _told(workers, context.others)
+
+
+@then(
+    "the leader takes {leader:d} of them and each other keeper at least {each:d}"
+)
+def step_taken(context: Any, leader: int, each: int) -> None:
+    told = list(context.told.values())
+    assert told.count("leader") == leader, told.count("leader")
+    for host in context.others:
+        assert told.count(host) >= each, (host, told.count(host))
+
+
+@when(
+    "{workers:d} workers are told where to report and one of {others:d} other"
+    " keepers fails"
+)
+def step_relay_fails(context: Any, workers: int, others: int) -> None:
+    hosts = [f"10.0.0.{n}" for n in range(others)]
+    context.failed_host = hosts[1]
+    context.before = _told(workers, hosts)
+    context.after = _told(
+        workers, [host for host in hosts if host != context.failed_host]
+    )
+
+
+@then("no worker of the remaining keepers is told otherwise")
+def step_unmoved(context: Any) -> None:
+    for worker, host in context.before.items():
+        if host != context.failed_host:
+            assert context.after[worker] == host
+
+
+# A leading controller.
+
+
+class _Leader:
+    """A controller that is its quorum's only voter, on a perfect disk."""
+
+    def __init__(self) -> None:
+        member = commands.KeeperAddress("k", "10.0.0.1", 7720)
+        saved = consensus.Saved(
+            consensus.HardState(),
+            raft_log.SnapshotData(
+                1, 1, messages.Membership(voters=(member,)), b""
+            ),
+            (),
+        )
+        replica = consensus.Replica(
+            "k", saved, consensus.Timing(), random.Random(1), 0.0
+        )
+        self.controller = controller_lib.Controller(
+            replica,
+            controller_lib.ControllerSettings(1, CONTROL_PORT),
+            dispatcher.DispatchSettings(),
+        )
+        self.now = 10.0
+        self.rounds = 0
+        begin = replica.begin_read
+
+        def counted() -> int | None:
+            self.rounds += 1
+            return begin()
+
+        cast(Any, replica).begin_read = counted
+        for _ in range(40):
+            self.turn()
+        assert self.controller.state.is_open
+        self._sequence = 0
+
+    def turn(self) -> list[confirmations.Answered[requests.AnyReply]]:
+        """Runs one turn of the process, its disk included."""
+        self.now += TURN_S
+        self.controller.tick(self.now, 0)
+        self.controller.replica.take_output()
+        return self.controller.after_sync(
+            self.now, 0, self.controller.replica.log.last_index
+        )
+
+    def report(
+        self,
+        running: tuple[requests.RunningTask, ...] = (),
+        ended: tuple[requests.EndedRun, ...] = (),
+    ) -> None:
+        """Takes in a report of the only worker, which has 8 cores."""
+        self._sequence += 1
+        report = requests.WorkerReport(
+            worker=model.WorkerId("w"),
+            incarnation=1,
+            sequence=self._sequence,
+            service=filling_steps.SERVICE,
+            address="",
+            zone="z",
+            machine="m",
+            rack="r",
+            labels=(),
+            capacity=commands.Resources(8_000, 1_000, 0),
+            draining=False,
+            leaves_in_ms=0,
+            running=running,
+            ended=ended,
+        )
+        self.controller.on_request(self.now, 0, CLIENT, report)
+
+    def submit(self, job: str, millicores: int) -> None:
+        """Has a job of one task committed."""
+        spec = model.JobSpec("payload", (filling_steps.ordinary(millicores),))
+        self.controller.replica.propose(
+            log_commands.encode(
+                log_commands.SubmitJob(
+                    model.JobId(job), filling_steps.QUEUE, spec, 0
+                )
+            )
+        )
+        for _ in range(4):
+            self.turn()
+
+    def answer(self, turns: int) -> tuple[requests.Orders | None, int]:
+        """Returns the answer and how many turns it took."""
+        for turn in range(turns):
+            for answered in self.turn():
+                assert isinstance(answered.reply, requests.Orders)
+                return answered.reply, turn + 1
+        return None, turns
+
+
+@given(
+    "a leading controller and a worker whose task ends, while {waiting:d} tasks"
+    " wait"
+)
+def step_ending(context: Any, waiting: int) -> None:
+    context.leader = leader = _Leader()
+    leader.report()
+    assert leader.answer(10)[0]
+    leader.submit("0a", 7_000)
+    leader.report()
+    orders, _ = leader.answer(10)
+    assert orders is not None and len(orders.starts) == 1
+    start = orders.starts[0]
+    context.run = requests.RunningTask(start.task, start.run, "", 50)
+    leader.report((context.run,))
+    assert leader.answer(10)[0]
+    for number in range(waiting):
+        leader.submit(f"{number + 16:x}", 5_000)
+    leader.rounds = 0
+
+
+@when("the end is reported")
+def step_end_reported(context: Any) -> None:
+    run = context.run
+    ended = requests.EndedRun(1, run.task, run.run, model.Outcome.DONE, "")
+    context.leader.report(ended=(ended,))
+    context.orders, context.turns = context.leader.answer(40)
+
+
+@then("the answer comes {moment} and starts {starts:d} tasks")
+def step_answer(context: Any, moment: str, starts: int) -> None:
+    assert context.orders is not None
+    held_s = context.turns * TURN_S
+    if moment == "at once":
+        assert held_s < report_timing.HOLD_S / 2, held_s
+    else:
+        assert held_s <= report_timing.HOLD_S + 2 * TURN_S, held_s
+    assert len(context.orders.starts) == starts, context.orders.starts
+
+
+@when("the end is reported and the leader is paused for {pause:g} s")
+def step_paused(context: Any, pause: float) -> None:
+    run = context.run
+    ended = requests.EndedRun(1, run.task, run.run, model.Outcome.DONE, "")
+    leader = context.leader
+    leader.report(ended=(ended,))
+    assert leader.answer(4)[0] is None
+    context.rounds_before = leader.rounds
+    leader.now += pause
+    context.orders, _ = leader.answer(40)
+
+
+@then("it {verdict} before it answers")
+def step_verdict(context: Any, verdict: str) -> None:
+    assert context.orders is not None
+    assert context.orders.lease_ms > 0
+    new = context.leader.rounds - context.rounds_before
+    assert new == (verdict == "asks for a new confirmation"), new
+
+
+# Batches.
+
+
+@dataclasses.dataclass
+class _Log:
+    last_index: int = 0
+
+
+class _SlowReplica:
+    """A replica whose rounds are confirmed after some time."""
+
+    def __init__(self, round_s: float) -> None:
+        self.now = 0.0
+        self.applied_index = 0
+        self.log = _Log()
+        self.round_s = round_s
+        self.started_at: list[float] = []
+
+    def begin_read(self) -> int:
+        """Starts a round."""
+        self.started_at.append(self.now)
+        return len(self.started_at)
+
+    def read_confirmed(self, number: int) -> bool:
+        """Whether a round is complete."""
+        if not number:
+            return True
+        return self.now >= self.started_at[number - 1] + self.round_s
+
+
+@when(
+    "{count:d} requests arrive within {span:d} ms and each confirmation takes"
+    " {round_ms:d} ms"
+)
+def step_batches(context: Any, count: int, span: int, round_ms: int) -> None:
+    replica = _SlowReplica(round_ms / 1000)
+    waiting: confirmations.Confirmations[int] = confirmations.Confirmations(
+        cast(consensus.Replica, replica)
+    )
+    context.answered = 0
+    context.count = count
+    arrived = 0
+    for tenth in range(10 * (span + 100)):
+        replica.now = tenth / 10_000
+        while arrived < count and arrived * span / count <= tenth / 10:
+            waiting.add(replica.now, CLIENT, arrived)
+            arrived += 1
+        waiting.start(replica.now)
+        context.answered += len(waiting.take_confirmed(replica.now))
+        assert not waiting.take_expired(replica.now)
+    context.rounds = len(replica.started_at)
+
+
+@then("at most {rounds:d} confirmations are started and all are answered")
+def step_rounds(context: Any, rounds: int) -> None:
+    assert context.rounds <= rounds, context.rounds
+    assert context.answered == context.count, context.answered
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -21,6 +21,8 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import notes as notes_lib
 from fulmarrouter.cluster import queues
+from fulmarrouter.cluster import relays
+from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
@@ -28,6 +30,8 @@
 # How long the quorum may stay smaller than wanted before callers are served
 # all the same, where the deployment has fewer disks.
 OPEN_PATIENCE_S = 5.0
+# A keeper that hasn't answered the leader for this long takes no reports.
+RELAY_SILENCE_S = 0.5
 # Ends of runs that are worth a line of their own.
 NOTABLE_OUTCOMES = (
     model.Outcome.FAILED,
@@ -167,7 +171,12 @@
         index = self._commit_all(proposed)
         if index:
             self.dispatcher.note_proposed(request, index)
-        self._confirmations.add(now, client, request)
+        held_s = report_timing.hold_answer_s(
+            bool(request.ended), bool(self.state.open_steps)
+        )
+        self._confirmations.add(
+            now, client, request, not_before=now + held_s if held_s else 0.0
+        )
 
     def _on_submit(
         self,
@@ -247,9 +256,15 @@
         self._follow_role(now, wall_ms)
         if self.in_office:
             self._lead(now, wall_ms)
-        self._confirmations.start()
+        self._confirmations.start(now)
         self.replica.flush(now)
 
+    def next_due(self, now: float) -> float:
+        """Returns when there is something to do if nothing arrives."""
+        return min(
+            self.replica.next_deadline(), self._confirmations.next_due(now)
+        )
+
     def _lead(self, now: float, wall_ms: int) -> None:
         if now >= self._membership_due:
             self._membership_due = now + 0.1
@@ -408,7 +423,7 @@
                 )
 
     def _answer_waiting(self, now: float) -> None:
-        for item in self._confirmations.take_confirmed():
+        for item in self._confirmations.take_confirmed(now):
             reply = self._reply_to(now, item)
             self._answered.append(Answered(item.client, reply))
         for item in self._confirmations.take_expired(now):
@@ -427,8 +442,7 @@
                     now, self.state, item.request, self.replica.term
                 )
                 return msgspec.structs.replace(
-                    orders,
-                    report_to=f"{self.leader_host()}:{self._settings.control_port}",
+                    orders, report_to=self._report_to(now, item.request.worker)
                 )
             case requests.ReplaceConfiguration():
                 if result is state_lib.Result.CONFLICT:
@@ -453,6 +467,23 @@
             case _:
                 return requests.Refused(codes.Code.INVALID)
 
+    def _report_to(self, now: float, worker: model.WorkerId) -> str:
+        """Returns where a worker is to send its next reports."""
+        others = [
+            item.host
+            for item in self.replica.membership.all_keepers()
+            if item.keeper != self.replica.keeper
+            and self.replica.peer_status(now, item.keeper).silent_for
+            <= RELAY_SILENCE_S
+        ]
+        host = relays.choose(
+            worker,
+            self.leader_host(),
+            others,
+            len(self.dispatcher.fleet.view_by_id),
+        )
+        return f"{host}:{self._settings.control_port}"
+
     def take_snapshot(self) -> raft_log.SnapshotData | None:
         """Returns a snapshot to store, when enough has been applied."""
         applied = self.replica.applied_index
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -16,14 +16,10 @@
 from fulmarrouter.cluster import notes
 from fulmarrouter.cluster import planner as planner_lib
 from fulmarrouter.cluster import progress
+from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
-# How soon workers with room report again, and those without.
-NEXT_REPORT_FREE_MS = 100
-NEXT_REPORT_FULL_MS = 400
-# Room, as a share of a worker's capacity, below which it counts as full.
-FULL_SHARE = 0.03
 # A worker that refused a start gets none for this long; its next reports
 # show what takes the room.
 REFUSED_PAUSE_S = 0.5
@@ -68,6 +64,8 @@
         self._keep_due = 0.0
         self._failed_on: dict[model.JobId, set[model.WorkerId]] = {}
         self._inherited_until: dict[state_lib.WorkerKey, float] = {}
+        # Workers with ends that the state may not have taken in yet.
+        self._with_ends: set[model.WorkerId] = set()
 
     def take_office(
         self, now: float, state: state_lib.State, wall_ms: int = 0
@@ -85,6 +83,7 @@
         )
         self.planner = planner_lib.Planner(self.fleet, self.neighbours)
         self.planner.take_over(now, state, wall_ms)
+        self._with_ends = set()
         self._office_since = now
         self._keep_due = now + KEEP_EFFECTS_S
         full = self._lease_end(now)
@@ -192,6 +191,7 @@
                 continue
             if assigned.get(item.task) == item.run:
                 view.ended[item.task] = item.run
+                self._with_ends.add(view.key.worker)
             ends.append(
                 log_commands.RunEnd(
                     item.task,
@@ -270,11 +270,16 @@
         view = self.fleet.view_by_id.get(report.worker)
         if view is not None and report.ended:
             view.noting.append((index, report.ended[-1].number))
+            self._with_ends.add(report.worker)
 
     def on_applied(self, state: state_lib.State, applied_index: int) -> None:
         """Follows what the state has taken in."""
         self.fleet.mark_touched(state)
-        for view in self.fleet.view_by_id.values():
+        for worker in list(self._with_ends):
+            view = self.fleet.view_by_id.get(worker)
+            if view is None or not (view.noting or view.ended):
+                self._with_ends.discard(worker)
+                continue
             while view.noting and view.noting[0][0] <= applied_index:
                 view.noted_end = max(view.noted_end, view.noting.pop(0)[1])
             if view.ended:
@@ -448,10 +453,11 @@
         self, state: state_lib.State, view: fleet_lib.WorkerView
     ) -> int:
         self.fleet.refresh_used(state, view)
-        free = view.free().millicores
-        if free > view.report.capacity.millicores * FULL_SHARE:
-            return NEXT_REPORT_FREE_MS
-        return NEXT_REPORT_FULL_MS
+        return report_timing.next_report_ms(
+            view.free().millicores,
+            view.report.capacity.millicores,
+            len(self.fleet.view_by_id),
+        )
 
 
 def _is_wanted(job: state_lib.Job, task: state_lib.Task, run: int) -> bool:
--- a/fulmarrouter/cluster/disturbance.py
+++ b/fulmarrouter/cluster/disturbance.py
@@ -27,6 +27,8 @@
 MAX_EFFECT = 40.0
 # Readings are averages over half a second; older ones say nothing of now.
 READING_TTL_S = 0.9
+# How long what a job's readings come to is used before it is worked out anew.
+SUMMARY_TTL_S = 0.1
 # Headroom above this is not told apart: the tail is near its floor.
 MAX_HEADROOM = 20.0
 # Processor share below which a neighbour teaches nothing.
@@ -71,6 +73,7 @@
     ) -> None:
         self._effect_by_pair: dict[tuple[str, str], _Effect] = {}
         self.inherit(inherited)
+        self._summary_by_job: dict[model.JobId, tuple[float, float | None]] = {}
         self._readings_by_job: dict[
             model.JobId, dict[model.TaskId, _Reading]
         ] = {}
@@ -117,36 +120,42 @@
         disturbing = {
             image: share for image, share in shares.items() if share > MIN_SHARE
         }
-        alone = self.alone(now, job, but=task)
+        alone = self._alone(now, job, task)
         if disturbing and alone is not None:
             self._learn(serving, alone - headroom, disturbing)
         estimate = headroom + self.loss(serving, disturbing)
         readings = self._readings_by_job.setdefault(job, {})
         readings[task] = _Reading(now, estimate, not disturbing)
 
-    def alone(
-        self,
-        now: float,
-        job: model.JobId,
-        but: model.TaskId | None = None,
-    ) -> float | None:
+    def alone(self, now: float, job: model.JobId) -> float | None:
         """Returns the headroom of a job's tasks where nothing fills beside.
 
-        None if no other reading is fresh enough.
+        None if no reading is fresh enough.
         """
+        known = self._summary_by_job.get(job)
+        if known is not None and now - known[0] <= SUMMARY_TTL_S:
+            return known[1]
+        found = self._alone(now, job, None)
+        self._summary_by_job[job] = (now, found)
+        return found
+
+    def _alone(
+        self, now: float, job: model.JobId, but: model.TaskId | None
+    ) -> float | None:
         readings = self._readings_by_job.get(job)
         if not readings:
             return None
+        oldest = now - READING_TTL_S
         fresh = [
             reading
             for task, reading in readings.items()
-            if task != but and now - reading.at <= READING_TTL_S
+            if reading.at >= oldest and task != but
         ]
         undisturbed = [item.alone for item in fresh if item.is_undisturbed]
         if undisturbed:
             return statistics.median(undisturbed)
         if fresh:
-            return statistics.median(item.alone for item in fresh)
+            return statistics.median([item.alone for item in fresh])
         return None
 
     def take_changes(self) -> tuple[log_commands.LearnedEffect, ...]:
@@ -167,6 +176,7 @@
     def forget_job(self, job: model.JobId) -> None:
         """Drops the readings of a job that has ended."""
         self._readings_by_job.pop(job, None)
+        self._summary_by_job.pop(job, None)
 
     def jobs(self) -> list[model.JobId]:
         """Returns the jobs with readings."""
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -324,7 +324,8 @@
             return MAX_IDLE_S
         if self.controller.has_more:
             return 0.0
-        due = self.controller.replica.next_deadline() - time.monotonic()
+        now = time.monotonic()
+        due = self.controller.next_due(now) - now
         return min(KEEPER_IDLE_S, max(0.0, due))
 
     def _is_drained(self) -> bool:
--- /dev/null
+++ b/fulmarrouter/cluster/relays.py
@@ -0,0 +1,34 @@
+"""Decides which keepers take the workers' reports.
+
+Load it answers: more workers than a leader can read the HTTP requests of. The
+other keepers read them and pass on what they say, at less than half the cost
+for the leader. A relay keeps nothing: if it fails, its workers call another
+process, and leases outlast that.
+"""
+
+from collections.abc import Sequence
+import zlib
+
+# Workers whose reports a leader reads itself; a hop less is faster.
+MAX_DIRECT = 48
+
+
+def choose(
+    worker: str, leader: str, others: Sequence[str], workers: int
+) -> str:
+    """Returns the host that takes a worker's reports.
+
+    Args:
+        worker: The worker.
+        leader: Host of the leader.
+        others: Hosts of the other keepers that are known to be in touch.
+        workers: How many workers report.
+    """
+    if workers <= MAX_DIRECT or not others:
+        return leader
+
+    # Rendezvous hashing: a host that fails moves only its own workers.
+    def weight(host: str) -> tuple[int, str]:
+        return zlib.crc32(f"{worker} {host}".encode()), host
+
+    return max(others, key=weight)
--- a/fulmarrouter/keeper.py
+++ b/fulmarrouter/keeper.py
@@ -95,7 +95,7 @@
         """Acts on time; called at least once for each batch of input."""
         self.replica.tick(now)
         self._follow_role(now, wall_ms)
-        self._reads.start()
+        self._reads.start(now)
         if self._in_office and self.replica.leads_with_committed_entry:
             self._plan(now, wall_ms)
             self._reconcile_keepers(now)
@@ -196,7 +196,7 @@
             self._refuse(read.client)
 
     def _answer_reads(self, now: float) -> None:
-        for read in self._reads.take_confirmed():
+        for read in self._reads.take_confirmed(now):
             reply = self._reply_to(now, read.request)
             self._answered.append(Answered(read.client, reply))
         for read in self._reads.take_expired(now):
