Keep room for ordinary tasks from tasks that last

Ordinary jobs that can be in time now go before lasting ones of their priority, and while there are fewer gaps than ordinary tasks lately needed at once, lasting tasks that have never run take none (gaps.py).

--- a/bench/load_player.py
+++ b/bench/load_player.py
@@ -38,6 +38,21 @@
 LIGHT_EFFECT = (0.0, 0.4)
 
 
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """Shape of a kind of job, means of what is drawn.
+
+    Attributes:
+        width: Tasks of a step.
+        millicores: What a task asks for.
+        work_ms: Duration of a task.
+    """
+
+    width: float
+    millicores: float
+    work_ms: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Scenario:
     """A load and the workers that it meets.
@@ -49,6 +64,12 @@
         burst: Factor on the filling jobs in the middle third.
         serving_share: Part of the capacity that serving tasks claim.
         heavy_share: Part of the pairs of images that disturb heavily.
+        serving_per_s: Serving jobs that arrive during the load.
+        serving_stay_s: Mean time until a serving job is cancelled; 0 for none
+            that is.
+        urgent: Shape of the urgent jobs.
+        filling: Shape of the filling jobs.
+        serving_width: Mean number of tasks of a serving job.
     """
 
     seconds: float = 30.0
@@ -62,6 +83,11 @@
     failing_workers: int = 0
     stalled_workers: int = 0
     hopeless_share: float = 0.0
+    serving_per_s: float = 0.0
+    serving_stay_s: float = 0.0
+    urgent: Shape = Shape(6, 4600, 640)
+    filling: Shape = Shape(8, 7000, 2200)
+    serving_width: float = 6.0
 
 
 @dataclasses.dataclass
@@ -128,13 +154,15 @@
     """What a played load came to.
 
     Attributes:
-        serving_share: Share of serving tasks at work and below their target.
+        serving_share: Share of the running serving tasks below their target.
+        serving_waiting: Share of the serving tasks that wait for room.
         runs_stopped: Runs that were stopped before their end.
         wasted_core_s: Work of stopped or failed runs.
     """
 
     by_kind: dict[str, KindReport]
     serving_share: float
+    serving_waiting: float
     runs_started: int
     runs_stopped: int
     wasted_core_s: float
@@ -171,6 +199,7 @@
         self._submitted: dict[model.JobId, _Submitted] = {}
         self._work_ms: dict[model.TaskId, float] = {}
         self._next_job = 0
+        self._leaving: list[tuple[float, model.JobId]] = []
         self._serving_images = [f"s{n}" for n in range(5)]
         self._filling_images = [f"f{n}" for n in range(9)]
         self._effects = self._draw_effects()
@@ -182,6 +211,7 @@
         self._wasted = 0.0
         self._serving_seen = 0
         self._serving_good = 0
+        self._serving_waiting = 0
 
     def _draw_effects(self) -> dict[tuple[str, str], float]:
         """Two hidden resources; images that press the same one disturb."""
@@ -261,34 +291,57 @@
             self._rng.random() < self._scenario.hopeless_share,
         )
         self._phase_by_job[job] = self._rng.uniform(0, 2 * math.pi)
+        stay_s = self._scenario.serving_stay_s
+        if kind == "serving" and stay_s:
+            leaves = max(0.0, now) + self._lognormal(stay_s, 0.5, 3 * stay_s)
+            self._leaving.append((leaves, job))
         self._apply(log_commands.SubmitJob(job, queue, spec, 0))
 
     def _urgent_steps(
         self,
     ) -> tuple[tuple[model.StepSpec, ...], float, float, int, int]:
+        shape = self._scenario.urgent
         steps = tuple(
             model.StepSpec(
-                count=max(1, round(self._lognormal(6, 0.8, 36))),
+                count=max(
+                    1, round(self._lognormal(shape.width, 0.8, 6 * shape.width))
+                ),
                 needs=commands.Resources(
-                    int(self._lognormal(4600, 0.45, 14_000)), 9000, 0
+                    int(
+                        self._lognormal(
+                            shape.millicores, 0.45, 3 * shape.millicores
+                        )
+                    ),
+                    int(2 * shape.millicores),
+                    0,
                 ),
-                estimated_ms=600,
+                estimated_ms=int(shape.work_ms),
                 after=(number - 1,) if number else (),
             )
             for number in range(max(1, round(self._lognormal(1.6, 0.4, 4))))
         )
-        return steps, self._lognormal(640, 0.5, 1600), 1.5, 1200, 0
+        work_ms = self._lognormal(shape.work_ms, 0.5, 2.5 * shape.work_ms)
+        return steps, work_ms, 1.5, 1200, 0
 
     def _filling_steps(
         self,
     ) -> tuple[tuple[model.StepSpec, ...], float, float, int, int]:
-        work_ms = self._lognormal(2200, 0.5, 5400)
+        shape = self._scenario.filling
+        work_ms = self._lognormal(shape.work_ms, 0.5, 2.5 * shape.work_ms)
         off = self._rng.lognormvariate(0.0, ESTIMATE_SIGMA)
         steps = tuple(
             model.StepSpec(
-                count=max(1, round(self._lognormal(8, 0.6, 32))),
+                count=max(
+                    1, round(self._lognormal(shape.width, 0.6, 4 * shape.width))
+                ),
                 needs=commands.Resources(
-                    int(self._lognormal(7000, 0.3, 14_000)), 13_000, 0
+                    int(
+                        self._lognormal(
+                            shape.millicores, 0.3, 2 * shape.millicores
+                        )
+                    ),
+                    int(2 * shape.millicores),
+                    0,
                 ),
                 estimated_ms=int(work_ms * off),
                 after=(number - 1,) if number else (),
@@ -303,8 +356,9 @@
     def _serving_steps(
         self,
     ) -> tuple[tuple[model.StepSpec, ...], float, float, int, int]:
+        width = self._scenario.serving_width
         step = model.StepSpec(
-            count=max(1, round(self._lognormal(6, 0.4, 12))),
+            count=max(1, round(self._lognormal(width, 0.4, 2 * width))),
             needs=commands.Resources(
                 int(self._lognormal(13_000, 0.25, 20_000)), 26_000, 0
             ),
@@ -353,6 +407,11 @@
             self._submit(now, "urgent")
         if self._rng.random() < scenario.filling_per_s * factor * TICK_S:
             self._submit(now, "filling")
+        if self._rng.random() < scenario.serving_per_s * TICK_S:
+            self._submit(now, "serving")
+        for item in [item for item in self._leaving if item[0] <= now]:
+            self._leaving.remove(item)
+            self._apply(log_commands.CancelJob(item[1]))
 
     def _serve_reports(self, now: float) -> None:
         reported: list[tuple[_Worker, requests.WorkerReport]] = []
@@ -475,6 +534,12 @@
         )
 
     def _advance(self, now: float) -> None:
+        if now >= 0:
+            self._serving_waiting += sum(
+                step.waiting
+                for key, step in self._state.open_steps.items()
+                if self._state.spec_of(key).restarts
+            )
         for worker in self._workers:
             self._advance_worker(now, worker)
         for job_id, item in self._submitted.items():
@@ -567,6 +632,8 @@
         return Report(
             dict(by_kind),
             self._serving_good / max(1, self._serving_seen),
+            self._serving_waiting
+            / max(1, self._serving_seen + self._serving_waiting),
             self._started,
             self._stopped,
             self._wasted,
@@ -574,6 +641,19 @@
 
 
 SCENARIO_BY_NAME = {
+    # A third of a deployment of 270 workers, on which large urgent tasks
+    # compete with serving ones for the gaps.
+    "large": Scenario(
+        workers=90,
+        urgent_per_s=1.72,
+        filling_per_s=2.07,
+        serving_share=0.9,
+        serving_per_s=0.1,
+        serving_stay_s=70.0,
+        urgent=Shape(9.4, 13_000, 1000),
+        filling=Shape(39, 7000, 2200),
+        serving_width=24.0,
+    ),
     "steady": Scenario(),
     "burst": Scenario(burst=2.0),
     "overload": Scenario(filling_per_s=6.0),
--- /dev/null
+++ b/features/steps/gaps_steps.py
@@ -0,0 +1,187 @@
+"""Steps on the room that is kept for ordinary tasks."""
+
+import statistics
+from typing import Any
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from bench import load_player
+from features.steps import filling_steps
+from fulmarrouter import commands
+from fulmarrouter.cluster import gaps
+from fulmarrouter.cluster import log_commands
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import room_index
+
+WORKER_CORES = 140
+GAP_CORES = 13
+
+
+@when(
+    "a lasting task of {asks:d} cores meets a worker with {free:d} cores free,"
+    " kept from {least:d} on"
+)
+def step_meets(context: Any, asks: int, free: int, least: int) -> None:
+    context.is_kept = gaps.is_kept(free * 1000, asks * 1000, least * 1000)
+
+
+@then("the room {verdict} kept from it")
+def step_kept(context: Any, verdict: str) -> None:
+    assert context.is_kept == (verdict == "is"), context.is_kept
+
+
+@given(
+    "ordinary tasks of 4, 8, 12 and 16 cores on workers of {cores:d} cores in"
+    " all"
+)
+def step_sizes(context: Any, cores: int) -> None:
+    context.capacity = cores * 1000
+    context.need = gaps.Need()
+    for size in (4, 8, 12, 16):
+        context.need.note_opened(filling_steps.ordinary(size * 1000))
+
+
+@when(
+    "{running:d} of them run and {waiting:d} wait, and none do for {later:d} s"
+)
+def step_look(context: Any, running: int, waiting: int, later: int) -> None:
+    context.need.look(running, waiting, context.capacity)
+    for _ in range(round(later / room_index.SURVEY_S)):
+        context.need.look(0, 0, context.capacity)
+
+
+@then("gaps of {size:d} cores are kept for {tasks:d} tasks")
+def step_need(context: Any, size: int, tasks: int) -> None:
+    assert context.need.size == size * 1000, context.need.size
+    assert int(context.need.tasks) == tasks, context.need.tasks
+
+
+# One lasting task.
+
+
+@given(
+    "{count:d} workers with a gap of 13 cores each, which {tasks:d} ordinary"
+    " tasks need"
+)
+def step_gaps(context: Any, count: int, tasks: int) -> None:
+    context.bench = bench = filling_steps.Bench()
+    context.workers = [f"w{n}" for n in range(count)]
+    _report(context, 0.0)
+    bench.submit(
+        "0a",
+        model.StepSpec(
+            count,
+            commands.Resources((WORKER_CORES - GAP_CORES) * 1000, 10, 0),
+            restarts=True,
+            max_per_worker=1,
+            tail_target_ms=filling_steps.TARGET_MS,
+        ),
+    )
+    context.lasting = bench.plan(0.1)
+    bench.submit(
+        "0b",
+        model.StepSpec(
+            tasks, commands.Resources(GAP_CORES * 1000, 10, 0), 1000
+        ),
+    )
+    context.ordinary = bench.plan(0.2)
+    assert len(context.ordinary) == tasks
+    _report(context, 0.3, context.lasting + context.ordinary)
+    assert not bench.plan(0.5)
+
+
+def _report(
+    context: Any, now: float, running: Any = (), ended: Any = ()
+) -> None:
+    for worker in context.workers:
+        rows = tuple(
+            requests.RunningTask(item.task, item.run, "", 100)
+            for item in running
+            if item.worker == worker
+        )
+        ends = tuple(
+            requests.EndedRun(1, item.task, item.run, model.Outcome.DONE, "")
+            for item in ended
+            if item.worker == worker
+        )
+        context.bench.report(now, worker, WORKER_CORES * 1000, rows, ends)
+
+
+@when(
+    "those tasks end and a lasting task of {cores:d} cores that {history} waits"
+    " for {later:g} s"
+)
+def step_waits(context: Any, cores: int, history: str, later: float) -> None:
+    _report(context, 0.6, context.lasting, context.ordinary)
+    context.bench.submit(
+        "0c",
+        model.StepSpec(
+            1,
+            commands.Resources(cores * 1000, 10, 0),
+            restarts=True,
+            tail_target_ms=filling_steps.TARGET_MS,
+        ),
+    )
+    if history == "failed after a while":
+        _run_and_fail(context.bench, model.TaskId("0c.0.0.0"))
+    context.given = []
+    now = 0.7
+    while now < 0.7 + later:
+        _report(context, now, context.lasting)
+        context.given += context.bench.plan(now)
+        now += room_index.SURVEY_S
+
+
+def _run_and_fail(bench: filling_steps.Bench, task: model.TaskId) -> None:
+    worker = model.WorkerId("w0")
+    bench.commit(
+        log_commands.AssignTasks((log_commands.Assignment(task, 1, worker, 1),))
+    )
+    end = log_commands.RunEnd(task, 1, worker, 1, model.Outcome.FAILED)
+    bench.commit(log_commands.EndRuns((end,)))
+
+
+@then("it is {verdict} room")
+def step_verdict(context: Any, verdict: str) -> None:
+    assert bool(context.given) == (verdict == "given"), context.given
+
+
+# The load.
+
+
+def _keeps_none(self: gaps.Need, free: int, running: int, tasks: int) -> bool:
+    del self, free, running, tasks
+    return False
+
+
+@when(
+    "the load {load} is played with seed {seed:d}, with and without keeping gaps"
+)
+def step_play(context: Any, load: str, seed: int) -> None:
+    scenario = load_player.SCENARIO_BY_NAME[load]
+    context.kept = load_player.Player(scenario, seed).play()
+    with (
+        mock.patch.object(gaps.Need, "keeps", _keeps_none),
+        mock.patch.object(gaps, "LEFT_PERCENT", 0),
+    ):
+        context.not_kept = load_player.Player(scenario, seed).play()
+
+
+@then("urgent jobs earn at least {factor:g} times as much with gaps kept")
+def step_urgent(context: Any, factor: float) -> None:
+    kept = context.kept.by_kind["urgent"].share
+    other = context.not_kept.by_kind["urgent"].share
+    assert kept >= factor * other, (kept, other)
+
+
+@then("with gaps kept no kind gets less than half of what all get")
+def step_no_kind_left_out(context: Any) -> None:
+    report = context.kept
+    shares = {kind: item.share for kind, item in report.by_kind.items()}
+    shares["serving"] = report.serving_share * (1 - report.serving_waiting)
+    mean = statistics.fmean(shares.values())
+    assert min(shares.values()) >= mean / 2, shares
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from fulmarrouter import commands
+from fulmarrouter.cluster import gaps
 from fulmarrouter.cluster import health
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import progress as progress_lib
@@ -39,6 +40,7 @@
         stopping: Runs that it is told to stop though they are wanted.
         refused_until: It refused a start for want of room a moment ago.
         ending_runs: Assigned runs that end by themselves.
+        ordinary_runs: Those of them that claim room.
         share_by_image: Share of the processors that assigned filling tasks
             ask for.
     """
@@ -58,6 +60,7 @@
     serving_by_image: dict[str, int] = dataclasses.field(default_factory=dict)
     idle_millicores: int = 0
     ending_runs: int = 0
+    ordinary_runs: int = 0
     is_stale: bool = True
     refused_until: float = 0.0
     record: health.WorkerHealth = dataclasses.field(
@@ -126,6 +129,7 @@
         capacity = max(1, view.report.capacity.millicores)
         idle_serving = 0
         ending_runs = 0
+        ordinary_runs = 0
         serving: dict[str, int] = {}
         for task, run in state.runs_by_worker.get(view.key, {}).items():
             if view.ended.get(task) == run:
@@ -135,6 +139,7 @@
                 continue
             spec = state.spec_of(found[1])
             ending_runs += not spec.restarts
+            ordinary_runs += gaps.is_ordinary(spec)
             memory_mb += spec.needs.memory_mb
             accelerators += spec.needs.accelerators
             if spec.tail_target_ms:
@@ -148,6 +153,7 @@
                 millicores += spec.needs.millicores
         view.used = commands.Resources(millicores, memory_mb, accelerators)
         view.ending_runs = ending_runs
+        view.ordinary_runs = ordinary_runs
         view.share_by_image = shares
         view.serving_by_image = serving
         view.idle_millicores = (
--- a/fulmarrouter/cluster/ordering.py
+++ b/fulmarrouter/cluster/ordering.py
@@ -5,6 +5,7 @@
 the least work left before others, so that most callers are served in time.
 """
 
+from collections.abc import Iterator
 import enum
 
 from fulmarrouter.cluster import model
@@ -16,6 +17,12 @@
 DEFAULT_TASK_S = 1.0
 
 
+# Sort key of a job. Jobs that last go after those that end and can be in time:
+# what they take is gone for long, and the others need it for a moment only.
+# Not so where tasks of theirs have been at work and have been interrupted.
+Rank = tuple[int, "Prospect", bool, float, int]
+
+
 class Prospect(enum.IntEnum):
     """What a job can still be worth to its caller."""
 
@@ -63,17 +70,32 @@
     return Prospect.TOO_LATE
 
 
-def rank(
-    job: state_lib.Job, elapsed_s: float
-) -> tuple[int, Prospect, float, int]:
+def rank(job: state_lib.Job, elapsed_s: float) -> Rank:
     """Returns the sort key of a job; the lowest goes first."""
     return (
         job.queue.priority,
         prospect(job, elapsed_s),
-        0.0 if job.spec.lasts else remaining_work(job),
+        job.spec.lasts and not any(map(is_interrupted, _steps(job))),
+        remaining_work(job),
         job.accepted_index,
     )
 
 
+def is_interrupted(step: state_lib.Step) -> bool:
+    """Whether a task of a step has run and waits to go on.
+
+    For a step of lasting tasks that is a service somebody has been using.
+    """
+    return step.waiting > 0 and any(
+        task.run and task.phase is model.TaskPhase.WAITING
+        for task in step.tasks
+    )
+
+
+def _steps(job: state_lib.Job) -> Iterator[state_lib.Step]:
+    for steps in job.steps_by_occurrence.values():
+        yield from steps
+
+
 def _task_s(step: model.StepSpec) -> float:
     return step.estimated_ms / 1000 or DEFAULT_TASK_S
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -12,6 +12,7 @@
 
 from fulmarrouter import commands
 from fulmarrouter.cluster import disturbance
+from fulmarrouter.cluster import gaps
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import pacing
 
@@ -29,6 +30,8 @@
 SAME_IMAGE_KINSHIP = 0.5
 # Where a worker that serves nothing ranks between these.
 EMPTY_KINSHIP = 0.45
+# Added for workers that lasting tasks take last; below any kinship.
+LEAST_KINSHIP = -2.0
 
 
 @dataclasses.dataclass
@@ -42,6 +45,8 @@
         share_by_image: Share of its processors that filling tasks ask for.
         serving_by_image: Number of its serving tasks.
         is_suspect: Whether a task failed here since the last success.
+        is_left_to_ordinary: Whether lasting tasks take it last, so that there
+            is room for ordinary ones before any has been seen.
         max_new: Tasks that may still be placed here.
         left_by_image: Headroom that its filling tasks leave to its serving
             tasks; None until it is needed.
@@ -60,6 +65,7 @@
     share_by_image: dict[str, float] = dataclasses.field(default_factory=dict)
     serving_by_image: dict[str, int] = dataclasses.field(default_factory=dict)
     is_suspect: bool = False
+    is_left_to_ordinary: bool = False
     max_new: int = UNLIMITED
     left_by_image: dict[str, float] | None = None
 
@@ -109,6 +115,8 @@
         rack: Rack that the step is bound to, or an empty string.
         is_starved: Whether a filling task has waited so long that it may also
             go where it finds only a slow pace.
+        kept_from: Millicores from which on a worker's room is kept from the
+            tasks, 0 where none is.
     """
 
     spec: model.StepSpec
@@ -118,6 +126,7 @@
     last_attempts: frozenset[int] = frozenset()
     rack: str = ""
     is_starved: bool = False
+    kept_from: int = 0
 
 
 class _Rank:
@@ -129,6 +138,7 @@
         self._effects = effects
         self._spec = demand.spec
         self._is_starved = demand.is_starved
+        self._kept_from = demand.kept_from
         self._effect_by_serving: dict[str, float] = {}
 
     def of(self, slot: Slot, same_step: int) -> tuple[float, float] | None:
@@ -144,18 +154,23 @@
         if not spec.tail_target_ms:
             # The smallest gap that is large enough keeps larger ones free.
             return (0.0, float(-slot.free_millicores))
+        if gaps.is_kept(
+            slot.free_millicores, spec.needs.millicores, self._kept_from
+        ):
+            return None
         # The least headroom on a worker decides what fits beside. Tasks of one
         # job rise and fall together and tasks of one image bear the same
         # neighbours, so a worker with few of either has room more often.
         idle = slot.idle_millicores / max(1, slot.capacity_millicores)
         serving = sum(slot.serving_by_image.values())
+        rank_of_kept = LEAST_KINSHIP if slot.is_left_to_ordinary else 0.0
         if not serving:
-            return (EMPTY_KINSHIP, idle)
+            return (EMPTY_KINSHIP + rank_of_kept, idle)
         same_image = slot.serving_by_image.get(spec.image, 0)
         kinship = (
             SAME_IMAGE_KINSHIP * (same_image - same_step) + same_step
         ) / serving
-        return (kinship, idle)
+        return (kinship + rank_of_kept, idle)
 
     def _of_filling(self, slot: Slot) -> tuple[float, float] | None:
         """Prefers workers whose serving tasks lose little by the task."""
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterator
+import dataclasses
 
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import log_commands
@@ -107,9 +108,13 @@
         else:
             # The others have been looked at a moment ago.
             keys = [key for key in opened if key in state.open_steps]
-        if not keys:
+        if not keys and now < self._rooms.survey_due:
             return None
         self._rooms.refresh(now, state)
+        for key in opened:
+            if key in state.open_steps:
+                service = state.job_by_id[key.job].queue.service
+                self._rooms.note_opened(service, state.spec_of(key))
         assignments: list[log_commands.Assignment] = []
         looks = 0
         for key in self._order(now, state, keys):
@@ -141,7 +146,12 @@
             and self._is_old(now, key.job)
             and self._rooms.free_share(service) >= STARVED_FREE_SHARE
         )
-        search = searches.Search(key, service, spec, is_starved)
+        kept_from = 0
+        if spec.restarts and not ordering.is_interrupted(step):
+            kept_from = self._rooms.kept_from(service, step.waiting)
+        search = searches.Search(
+            key, service, spec, is_starved, keeps_gaps=kept_from > 0
+        )
         known_version = self._searches.known_version(search)
         fitting: list[placement.Slot] = []
         looks = 0
@@ -157,7 +167,11 @@
         demand = None
         chosen: list[tuple[int, placement.Slot]] = []
         if fitting:
-            demand = self._demand(job, key, step, is_starved)
+            demand = dataclasses.replace(
+                self._demand(job, key, step),
+                is_starved=is_starved,
+                kept_from=kept_from,
+            )
         if demand is not None and demand.indices:
             chosen = placement.place_step(
                 fitting, demand, self._neighbours.effects
@@ -212,9 +226,7 @@
         keys: list[state_lib.StepKey],
     ) -> list[state_lib.StepKey]:
         """Returns steps, the ones to be placed first in front."""
-        rank_by_job: dict[
-            model.JobId, tuple[int, ordering.Prospect, float, int]
-        ] = {}
+        rank_by_job: dict[model.JobId, ordering.Rank] = {}
         for key in keys:
             if key.job not in rank_by_job:
                 since = self._seen_at.setdefault(key.job, now)
@@ -228,7 +240,6 @@
         job: state_lib.Job,
         key: state_lib.StepKey,
         step: state_lib.Step,
-        is_starved: bool,
     ) -> placement.Demand:
         spec = job.spec.steps[key.step]
         indices: list[int] = []
@@ -260,5 +271,4 @@
             avoided,
             counts,
             frozenset(last_attempts),
-            is_starved=is_starved,
         )
--- a/fulmarrouter/cluster/room_index.py
+++ b/fulmarrouter/cluster/room_index.py
@@ -11,14 +11,15 @@
 import dataclasses
 
 from fulmarrouter.cluster import fleet as fleet_lib
+from fulmarrouter.cluster import gaps as gaps_lib
 from fulmarrouter.cluster import health
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import neighbours as neighbours_lib
 from fulmarrouter.cluster import placement
 from fulmarrouter.cluster import state as state_lib
 
-# How often it is counted whether most workers look suspect.
-COUNT_SUSPECTS_S = 0.2
+# How often all workers of a service are gone through for what changes slowly.
+SURVEY_S = 0.2
 
 # Returns the specs of the tasks that are planned for a worker and not yet
 # assigned by the state.
@@ -45,6 +46,9 @@
     Attributes:
         known_by_worker: The one that has changed last at the end.
         free_millicores: Sum over the workers.
+        ordinary_runs: Ordinary tasks that have room.
+        gaps: Gaps that are free, of the size in `need`.
+        need: What the service's ordinary tasks need.
     """
 
     known_by_worker: dict[model.WorkerId, _Known] = dataclasses.field(
@@ -52,9 +56,11 @@
     )
     free_millicores: int = 0
     capacity_millicores: int = 0
+    ordinary_runs: int = 0
+    gaps: int = 0
+    need: gaps_lib.Need = dataclasses.field(default_factory=gaps_lib.Need)
     ignores_probation: bool = False
     ignores_suspicion: bool = False
-    count_due: float = float("-inf")
 
     def add(self, known: _Known) -> None:
         """Counts a worker's room, as the one that has changed last."""
@@ -68,16 +74,19 @@
         self.free_millicores -= max(0, known.slot.free_millicores)
         self.capacity_millicores -= known.slot.capacity_millicores
 
-    def count_suspects(self, now: float) -> None:
-        """Finds out whether so many look suspect that the fault isn't theirs."""
-        if now < self.count_due:
-            return
-        self.count_due = now + COUNT_SUSPECTS_S
+    def survey(self, now: float, waiting: int) -> None:
+        """Goes through all workers for what changes slowly.
+
+        Args:
+            now: Monotonic time.
+            waiting: Ordinary tasks that wait for room.
+        """
         fresh = [
             known
             for known in self.known_by_worker.values()
             if known.view.is_fresh(now)
         ]
+        # So many suspects at once speak of a fault that isn't the workers'.
         allowed = health.MAX_SHARE_ON_PROBATION * len(fresh)
         on_probation = sum(
             known.view.record.is_on_probation(now) for known in fresh
@@ -85,6 +94,12 @@
         suspects = sum(bool(known.view.record.failed_jobs) for known in fresh)
         self.ignores_probation = on_probation > allowed
         self.ignores_suspicion = suspects > allowed
+        self.ordinary_runs = sum(known.view.ordinary_runs for known in fresh)
+        self.need.look(self.ordinary_runs, waiting, self.capacity_millicores)
+        self.gaps = sum(
+            gaps_lib.count(known.slot.free_millicores, self.need.size)
+            for known in fresh
+        )
 
 
 class RoomIndex:
@@ -94,6 +109,10 @@
         fleet: The workers, as last reported.
         neighbours: What is known of tasks beside one another.
         reserved_on: Returns what is planned for a worker.
+
+    Attributes:
+        version: Rises with each change of a worker's room.
+        survey_due: When all workers are to be gone through again.
     """
 
     def __init__(
@@ -108,6 +127,7 @@
         self._pool_by_service: dict[model.ServiceName, _Pool] = {}
         self._service_by_worker: dict[model.WorkerId, model.ServiceName] = {}
         self.version = 0
+        self.survey_due = float("-inf")
 
     def refresh(self, now: float, state: state_lib.State) -> None:
         """Takes in what has changed on the workers."""
@@ -121,8 +141,10 @@
             pool = self._pool_by_service.setdefault(service, _Pool())
             pool.add(_Known(view, self._slot(state, view), self.version))
             self._service_by_worker[worker] = service
-        for pool in self._pool_by_service.values():
-            pool.count_suspects(now)
+        if now >= self.survey_due:
+            self.survey_due = now + SURVEY_S
+            for service, pool in self._pool_by_service.items():
+                pool.survey(now, _waiting_ordinary(state, service))
 
     def changed_since(
         self, now: float, service: model.ServiceName, version: int
@@ -151,13 +173,34 @@
             return 0.0
         return pool.free_millicores / max(1, pool.capacity_millicores)
 
+    def note_opened(
+        self, service: model.ServiceName, spec: model.StepSpec
+    ) -> None:
+        """Takes in a step whose turn has come."""
+        pool = self._pool_by_service.get(service)
+        if pool is not None and gaps_lib.is_ordinary(spec):
+            pool.need.note_opened(spec)
+
+    def kept_from(self, service: model.ServiceName, tasks: int) -> int:
+        """Returns from which room on it is kept from tasks, 0 for none."""
+        pool = self._pool_by_service.get(service)
+        if pool is None:
+            return 0
+        if not pool.need.keeps(pool.gaps, pool.ordinary_runs, tasks):
+            return 0
+        return pool.need.least
+
     def note_taken(
         self, service: model.ServiceName, spec: model.StepSpec, tasks: int
     ) -> None:
         """Counts room that tasks have been placed in."""
-        if not spec.fills:
-            pool = self._pool_by_service[service]
-            pool.free_millicores -= tasks * spec.needs.millicores
+        if spec.fills:
+            return
+        pool = self._pool_by_service[service]
+        pool.free_millicores -= tasks * spec.needs.millicores
+        pool.gaps -= tasks
+        if gaps_lib.is_ordinary(spec):
+            pool.ordinary_runs += tasks
 
     def _drop(self, worker: model.WorkerId) -> None:
         service = self._service_by_worker.pop(worker, None)
@@ -188,6 +231,7 @@
             alone_by_image=self._neighbours.alone_by_image(view.key),
             share_by_image=shares,
             serving_by_image=view.serving_by_image,
+            is_left_to_ordinary=gaps_lib.is_left_to_ordinary(view.key.worker),
             max_new=(
                 max(0, 1 - view.ending_runs)
                 if view.record.on_trial
@@ -197,3 +241,15 @@
         for spec in self._reserved_on(view.key.worker):
             slot.take(spec)
         return slot
+
+
+def _waiting_ordinary(
+    state: state_lib.State, service: model.ServiceName
+) -> int:
+    """Returns how many ordinary tasks wait for room on a service's workers."""
+    return sum(
+        step.waiting
+        for key, step in state.open_steps.items()
+        if state.job_by_id[key.job].queue.service == service
+        and gaps_lib.is_ordinary(state.spec_of(key))
+    )
--- a/fulmarrouter/cluster/searches.py
+++ b/fulmarrouter/cluster/searches.py
@@ -11,18 +11,26 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import state as state_lib
 
+Kind = tuple[model.ServiceName, bool, bool, bool, str]
+
 # Searches that are remembered of each kind; the oldest are dropped first.
 MAX_FAILURES = 16
 
 
 @dataclasses.dataclass(frozen=True)
 class Search:
-    """One step's search for room."""
+    """One step's search for room.
+
+    Attributes:
+        is_starved: Whether it may also find room with a slow pace only.
+        keeps_gaps: Whether room for ordinary tasks is kept from it.
+    """
 
     key: state_lib.StepKey
     service: model.ServiceName
     spec: model.StepSpec
-    is_starved: bool
+    is_starved: bool = False
+    keeps_gaps: bool = False
 
     @property
     def is_plain(self) -> bool:
@@ -41,11 +49,17 @@
         return self.spec.gang or self.spec.colocate
 
     @property
-    def kind(self) -> tuple[model.ServiceName, bool, bool, str]:
+    def kind(self) -> Kind:
         """What it has in common with searches that find the same."""
         # What a filling task finds depends on its image too.
         image = self.spec.image if self.spec.fills else ""
-        return (self.service, self.spec.fills, self.is_starved, image)
+        return (
+            self.service,
+            self.spec.fills,
+            self.is_starved,
+            self.keeps_gaps,
+            image,
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,16 +84,14 @@
     """Versions of the room index up to which searches have failed."""
 
     def __init__(self) -> None:
-        self._version_by_step: dict[tuple[state_lib.StepKey, bool], int] = {}
-        self._failures_by_kind: dict[
-            tuple[model.ServiceName, bool, bool, str], list[_Failure]
-        ] = {}
+        self._version_by_step: dict[tuple[state_lib.StepKey, Kind], int] = {}
+        self._failures_by_kind: dict[Kind, list[_Failure]] = {}
 
     def known_version(self, search: Search) -> int:
         """Returns the version of the index that needs no further search."""
         if search.needs_many:
             return 0
-        version = self._version_by_step.get((search.key, search.is_starved), 0)
+        version = self._version_by_step.get((search.key, search.kind), 0)
         if not search.is_plain:
             return version
         for failure in self._failures_by_kind.get(search.kind, ()):
@@ -99,7 +111,7 @@
         """
         if search.needs_many:
             return
-        self._version_by_step[search.key, search.is_starved] = version
+        self._version_by_step[search.key, search.kind] = version
         if not search.is_plain or not is_for_all:
             return
         needs = search.spec.needs
