--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -208,17 +208,22 @@
     )
 
 
-class _Process:
+class Process:
     """One process of the cluster, on a loopback address of its own."""
 
     def __init__(
-        self, number: int, seeds: list[str], folder: pathlib.Path | None
+        self,
+        number: int,
+        seeds: list[str],
+        folder: pathlib.Path | None,
+        more: dict[str, Any] | None = None,
     ) -> None:
         self.host = f"127.0.1.{number}"
         settings = {
             "role": "node",
             "name": f"node-{number}",
             "domain": f"zone-{number}",
+            **(more or {}),
             "host": self.host,
             "peer_port": PEER_PORT,
             "callers": f"{self.host}:{CALLER_PORT}",
@@ -275,6 +280,7 @@
         self._ended: list[list[Any]] = []
         self._ends = 0
         self.leader = ""
+        self.started: list[tuple[str, int]] = []
         self.stopping = False
 
     def run(self) -> None:
@@ -327,10 +333,13 @@
         for task, run, payload, _ in answer.get("start", []):
             if payload == FAILING_PAYLOAD:
                 self._failing.add(task)
+            if task not in self._runs:
+                self.started.append((task, run))
             self._runs[task] = (run, time.monotonic() + 0.2)
 
 
-def _stop_processes(processes: list[_Process]) -> None:
+def stop_processes(processes: list[Process]) -> None:
+    """Ends the processes that the test started."""
     for item in processes:
         if item.process.poll() is None:
             item.process.kill()
@@ -341,46 +350,47 @@
 def step_processes(context: Any, disks: int, others: int) -> None:
     seeds = [f"127.0.1.{number}" for number in range(1, disks + 1)]
     context.processes = [
-        _Process(
+        Process(
             number,
             seeds,
             pathlib.Path(tempfile.mkdtemp()) if number <= disks else None,
         )
         for number in range(1, disks + others + 1)
     ]
-    context.add_cleanup(_stop_processes, context.processes)
+    context.add_cleanup(stop_processes, context.processes)
     context.entry = context.processes[-1]
-    _wait_for(START_TIMEOUT_S, context.entry.is_ready)
+    wait_for(START_TIMEOUT_S, context.entry.is_ready)
 
 
 @given("{disks:d} processes of a cluster with disks and a seed that has none")
 def step_diskless_seed(context: Any, disks: int) -> None:
     context.seeds = [f"127.0.1.{disks + 1}"]
     context.processes = [
-        _Process(
+        Process(
             number,
             context.seeds,
             pathlib.Path(tempfile.mkdtemp()) if number <= disks else None,
         )
         for number in range(1, disks + 2)
     ]
-    context.add_cleanup(_stop_processes, context.processes)
+    context.add_cleanup(stop_processes, context.processes)
     context.seed_number = disks + 1
-    _wait_for(START_TIMEOUT_S, context.processes[-1].is_ready)
+    wait_for(START_TIMEOUT_S, context.processes[-1].is_ready)
 
 
 @when("the seed is killed and started again")
 def step_restart_seed(context: Any) -> None:
-    _stop_processes([context.processes[-1]])
-    context.processes.append(_Process(context.seed_number, context.seeds, None))
+    stop_processes([context.processes[-1]])
+    context.processes.append(Process(context.seed_number, context.seeds, None))
 
 
 @then("the seed knows the leader again within {seconds:d} seconds")
 def step_seed_ready(context: Any, seconds: int) -> None:
-    _wait_for(seconds, context.processes[-1].is_ready)
+    wait_for(seconds, context.processes[-1].is_ready)
 
 
-def _wait_for(seconds: float, condition: Any) -> None:
+def wait_for(seconds: float, condition: Any) -> None:
+    """Waits until a condition holds, and fails if it takes too long."""
     until = time.monotonic() + seconds
     while not condition():
         assert time.monotonic() < until, f"not within {seconds} s"
@@ -399,7 +409,7 @@
         )
         return status == 200
 
-    _wait_for(START_TIMEOUT_S, is_accepted)
+    wait_for(START_TIMEOUT_S, is_accepted)
     hosts = [item.host for item in context.processes]
     context.workers = [
         _StandInWorker(f"w{number}", hosts) for number in range(count)
@@ -449,7 +459,7 @@
         return status == 200 and json.loads(body)["version"] == version
 
     for item in context.processes:
-        _wait_for(seconds, functools.partial(is_read, item.host))
+        wait_for(seconds, functools.partial(is_read, item.host))
 
 
 @when("a caller submits a job to the process without a disk")
@@ -482,7 +492,7 @@
         )
         return status == 200
 
-    _wait_for(START_TIMEOUT_S, is_accepted)
+    wait_for(START_TIMEOUT_S, is_accepted)
 
 
 @then("its tasks are all done within {seconds:d} seconds")
@@ -503,7 +513,7 @@
         )
         return status == 200 and json.loads(body) == {"state": state}
 
-    _wait_for(seconds, is_reached)
+    wait_for(seconds, is_reached)
 
 
 @then("the leader's log tells from its id which runs failed and where")
@@ -519,7 +529,7 @@
         ]
         return bool(found)
 
-    _wait_for(LOG_DELAY_S, is_written)
+    wait_for(LOG_DELAY_S, is_written)
     assert len(found) == 1, found
     runs = [
         line
@@ -580,7 +590,7 @@
         )
         return bool(lines)
 
-    _wait_for(LOG_DELAY_S, is_written)
+    wait_for(LOG_DELAY_S, is_written)
     assert len(lines) == 1, lines
     assert any(code in lines[0] for code in codes_by_reason[reason]), lines
 
--- a/features/steps/reporting_steps.py
+++ b/features/steps/reporting_steps.py
@@ -26,6 +26,8 @@
 
 TURN_S = 0.005
 CONTROL_PORT = 8166
+REPORTS_PER_S = 500
+DIRECT_WORKERS = 48
 CLIENT = confirmations.Client(ids.ConnectionId(1), ids.CallId(1))
 
 
@@ -37,7 +39,9 @@
     " {workers:d}"
 )
 def step_next_report(context: Any, free: int, workers: int) -> None:
-    context.next_ms = report_timing.next_report_ms(free * 1000, 64_000, workers)
+    context.next_ms = report_timing.next_report_ms(
+        free * 1000, 64_000, workers, REPORTS_PER_S
+    )
 
 
 @then("it reports again after {after:d} ms")
@@ -47,7 +51,9 @@
 
 def _told(workers: int, others: list[str]) -> dict[str, str]:
     return {
-        f"w{n}": relays.choose(f"w{n}", "leader", others, workers)
+        f"w{n}": relays.choose(
+            f"w{n}", "leader", others, workers, DIRECT_WORKERS
+        )
         for n in range(workers)
     }
 
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -52,10 +52,12 @@
     Attributes:
         wanted_voters: How many keepers are to vote.
         control_port: Port of the workers' interface, the same on all VMs.
+        direct_workers: Workers up to which the leader reads reports itself.
     """
 
     wanted_voters: int
     control_port: int
+    direct_workers: int = 48
 
 
 class Controller:
@@ -481,6 +483,7 @@
             self.leader_host(),
             others,
             len(self.dispatcher.fleet.view_by_id),
+            self._settings.direct_workers,
         )
         return f"{host}:{self._settings.control_port}"
 
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -39,10 +39,13 @@
     Attributes:
         lease_s: Time for which a worker may run things without a new lease.
         restore_s: Time that a task needs to resume from a checkpoint.
+        reports_per_s: Reports that the leader is to read in a second, beside
+            those on ends.
     """
 
     lease_s: float = 6.0
     restore_s: float = 0.5
+    reports_per_s: int = 500
 
 
 class Dispatcher:
@@ -457,6 +460,7 @@
             view.free().millicores,
             view.report.capacity.millicores,
             len(self.fleet.view_by_id),
+            self._settings.reports_per_s,
         )
 
 
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -182,12 +182,14 @@
             controller_lib.ControllerSettings(
                 wanted_voters=self.settings.tolerated_losses.voters(),
                 control_port=addresses.port_of(self.settings.control),
+                direct_workers=self.settings.direct_workers,
             ),
             dispatcher.DispatchSettings(
                 lease_s=min(
                     WORKER_LEASE_S, self.settings.max_worker_lease_ms / 1000
                 ),
                 restore_s=self.settings.checkpoint_restore_ms / 1000,
+                reports_per_s=self.settings.reports_per_s,
             ),
         )
 
--- a/fulmarrouter/cluster/relays.py
+++ b/fulmarrouter/cluster/relays.py
@@ -9,12 +9,13 @@
 from collections.abc import Sequence
 import zlib
 
-# Workers whose reports a leader reads itself; a hop less is faster.
-MAX_DIRECT = 48
-
 
 def choose(
-    worker: str, leader: str, others: Sequence[str], workers: int
+    worker: str,
+    leader: str,
+    others: Sequence[str],
+    workers: int,
+    direct_workers: int,
 ) -> str:
     """Returns the host that takes a worker's reports.
 
@@ -23,8 +24,10 @@
         leader: Host of the leader.
         others: Hosts of the other keepers that are known to be in touch.
         workers: How many workers report.
+        direct_workers: Up to how many the leader reads the reports itself,
+            which is a hop less.
     """
-    if workers <= MAX_DIRECT or not others:
+    if workers <= direct_workers or not others:
         return leader
 
     # Rendezvous hashing: a host that fails moves only its own workers.
--- a/fulmarrouter/cluster/report_timing.py
+++ b/fulmarrouter/cluster/report_timing.py
@@ -12,15 +12,16 @@
 LONGEST_MS = 800
 # Room, as a share of a worker's capacity, below which it counts as full.
 FULL_SHARE = 0.03
-# Reports that a leader is asked to read in a second, beside those on ends.
-REPORTS_PER_S = 500.0
 # Time to plan for the room that a run has left, and to commit that. Without
 # it the next task there would wait for one more report.
 HOLD_S = 0.06
 
 
 def next_report_ms(
-    free_millicores: int, capacity_millicores: int, workers: int
+    free_millicores: int,
+    capacity_millicores: int,
+    workers: int,
+    reports_per_s: float,
 ) -> int:
     """Returns when a worker is to report again if nothing ends on it.
 
@@ -28,10 +29,11 @@
         free_millicores: Room that it has.
         capacity_millicores: Its size.
         workers: How many report to the leader.
+        reports_per_s: How many reports it is to read in a second.
     """
     is_free = free_millicores > capacity_millicores * FULL_SHARE
     wanted = FREE_MS if is_free else FULL_MS
-    affordable = int(1000 * workers / REPORTS_PER_S)
+    affordable = int(1000 * workers / reports_per_s)
     return min(LONGEST_MS, max(wanted, affordable))
 
 
--- a/fulmarrouter/settings.py
+++ b/fulmarrouter/settings.py
@@ -181,6 +181,10 @@
             checkpoint.
         stop_grace_s: Time between the request to stop and the kill.
         advice: Address of the placement advice service, or an empty string.
+        direct_workers: Workers up to which a leader reads their reports itself;
+            the other keepers read those of more.
+        reports_per_s: Reports that workers send a leader in a second, beside
+            those on ends.
     """
 
     role: Role
@@ -200,6 +204,8 @@
     checkpoint_restore_ms: Milliseconds = 500
     stop_grace_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 6.0
     advice: OptionalAddress = ""
+    direct_workers: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 48
+    reports_per_s: Annotated[int, msgspec.Meta(ge=10, le=100_000)] = 500
     election: Election = Election()
 
 
