--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -355,6 +355,7 @@
             return
         self._summary_due = now + load_summary.INTERVAL_S
         fields = load_summary.describe(state, self.fleet, self.neighbours)
+        fields["gaps"], fields["gaps_wanted"] = self.planner.gap_counts()
         self._notes.add("load", **fields)
 
     def _forget_jobs(self, state: state_lib.State) -> None:
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -97,6 +97,10 @@
                 del self._seen_at[job_id]
         self._searches.keep_only(state.open_steps)
 
+    def gap_counts(self) -> tuple[int, int]:
+        """Returns the gaps for ordinary tasks, and how many are wanted."""
+        return self._rooms.gap_counts()
+
     def plan(
         self, now: float, state: state_lib.State
     ) -> log_commands.AssignTasks | None:
--- a/fulmarrouter/cluster/room_index.py
+++ b/fulmarrouter/cluster/room_index.py
@@ -190,6 +190,16 @@
             return 0
         return pool.need.least
 
+    def gap_counts(self) -> tuple[int, int]:
+        """Returns the free gaps of all services, and how many are wanted."""
+        pools = self._pool_by_service.values()
+        free = sum(max(0, pool.gaps) for pool in pools)
+        wanted = sum(
+            max(0, round(pool.need.tasks) - pool.ordinary_runs)
+            for pool in pools
+        )
+        return free, wanted
+
     def note_taken(
         self, service: model.ServiceName, spec: model.StepSpec, tasks: int
     ) -> None:
