Put interrupted lasting tasks back first, and only those past kept room

A step that had lost one task was taken as a whole past the gaps kept for ordinary tasks, its tasks that had never run included, and it went behind small ordinary jobs. features/gaps.feature: of three tasks only the one that has run takes a gap.

--- a/features/gaps.feature
+++ b/features/gaps.feature
@@ -24,16 +24,17 @@
       | 20      | 20      | 0     | 12   | 8     |
       | 0       | 0       | 0     | 12   | 0     |
 
-  Scenario Outline: A lasting task that <history> finds only gaps, <later> s after ordinary tasks needed them
+  Scenario Outline: <tasks> lasting tasks of which one <history> find only gaps, <later> s after ordinary tasks needed them
     Given 4 workers with a gap of 13 cores each, which 4 ordinary tasks need
-    When those tasks end and a lasting task of 12 cores that <history> waits for <later> s
-    Then it is <given> room
+    When those tasks end and <tasks> lasting tasks of 12 cores, of which one <history>, wait for <later> s
+    Then <given> of them are given room, the one that has run first
 
     Examples:
-      | history              | later | given     |
-      | never ran            | 0.5   | not given |
-      | never ran            | 8     | given     |
-      | failed after a while | 0.5   | given     |
+      | tasks | history              | later | given |
+      | 1     | never ran            | 0.5   | 0     |
+      | 1     | never ran            | 8     | 1     |
+      | 1     | failed after a while | 0.5   | 1     |
+      | 3     | failed after a while | 0.5   | 1     |
 
   Scenario Outline: Callers of large urgent tasks beside lasting ones, seed <seed>
     When the load large is played with seed <seed>, with and without keeping gaps
--- a/features/steps/gaps_steps.py
+++ b/features/steps/gaps_steps.py
@@ -112,15 +112,17 @@
 
 
 @when(
-    "those tasks end and a lasting task of {cores:d} cores that {history} waits"
-    " for {later:g} s"
+    "those tasks end and {tasks:d} lasting tasks of {cores:d} cores, of which"
+    " one {history}, wait for {later:g} s"
 )
-def step_waits(context: Any, cores: int, history: str, later: float) -> None:
+def step_waits(
+    context: Any, tasks: int, cores: int, history: str, later: float
+) -> None:
     _report(context, 0.6, context.lasting, context.ordinary)
     context.bench.submit(
         "0c",
         model.StepSpec(
-            1,
+            tasks,
             commands.Resources(cores * 1000, 10, 0),
             restarts=True,
             tail_target_ms=filling_steps.TARGET_MS,
@@ -145,9 +147,11 @@
     bench.commit(log_commands.EndRuns((end,)))
 
 
-@then("it is {verdict} room")
-def step_verdict(context: Any, verdict: str) -> None:
-    assert bool(context.given) == (verdict == "given"), context.given
+@then("{count:d} of them are given room, the one that has run first")
+def step_given(context: Any, count: int) -> None:
+    tasks = [item.task for item in context.given]
+    assert len(tasks) == count, tasks
+    assert tasks[:1] == ["0c.0.0.0"][:count], tasks
 
 
 # The load.
--- a/fulmarrouter/cluster/ordering.py
+++ b/fulmarrouter/cluster/ordering.py
@@ -17,12 +17,6 @@
 DEFAULT_TASK_S = 1.0
 
 
-# Sort key of a job. Jobs that last go after those that end and can be in time:
-# what they take is gone for long, and the others need it for a moment only.
-# Not so where tasks of theirs have been at work and have been interrupted.
-Rank = tuple[int, "Prospect", bool, float, int]
-
-
 class Prospect(enum.IntEnum):
     """What a job can still be worth to its caller."""
 
@@ -31,6 +25,22 @@
     TOO_LATE = 2
 
 
+class Turn(enum.IntEnum):
+    """Which jobs of a priority go first, where all can be in time.
+
+    What a lasting job takes is gone for long, while the others need it for a
+    moment only. A lasting job that has been interrupted had that room before.
+    """
+
+    INTERRUPTED = 0
+    ENDING = 1
+    LASTING = 2
+
+
+# Sort key of a job; the lowest goes first.
+Rank = tuple[int, Prospect, Turn, float, int]
+
+
 def objective_s(job: state_lib.Job) -> float:
     """Returns the time that a job may take, by its submitter's estimates."""
     return (
@@ -75,12 +85,21 @@
     return (
         job.queue.priority,
         prospect(job, elapsed_s),
-        job.spec.lasts and not any(map(is_interrupted, _steps(job))),
+        turn(job),
         remaining_work(job),
         job.accepted_index,
     )
 
 
+def turn(job: state_lib.Job) -> Turn:
+    """Returns whether a job goes before others that can be in time."""
+    if not job.spec.lasts:
+        return Turn.ENDING
+    if any(map(is_interrupted, _steps(job))):
+        return Turn.INTERRUPTED
+    return Turn.LASTING
+
+
 def is_interrupted(step: state_lib.Step) -> bool:
     """Whether a task of a step has run and waits to go on.
 
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -122,8 +122,8 @@
         assignments: list[log_commands.Assignment] = []
         looks = 0
         for key in self._order(now, state, keys):
-            chosen, looked_at = self._place(now, state, key)
-            assignments += self._assign(state, key, chosen)
+            found, looked_at = self._place(now, state, key)
+            assignments += found
             looks += looked_at
             if len(assignments) >= MAX_ASSIGNMENTS or looks >= MAX_LOOKS:
                 self._due = now
@@ -134,33 +134,44 @@
 
     def _place(
         self, now: float, state: state_lib.State, key: state_lib.StepKey
-    ) -> tuple[list[tuple[int, placement.Slot]], int]:
+    ) -> tuple[list[log_commands.Assignment], int]:
         """Places the waiting tasks of a step.
 
         Returns:
-            Pairs of a task's index and its worker, and the number of workers
-            that were looked at.
+            The assignments, and how many workers were looked at.
         """
-        job = state.job_by_id[key.job]
         step = state.open_steps[key]
-        spec = job.spec.steps[key.step]
-        service = job.queue.service
-        is_starved = (
-            spec.fills
-            and self._is_old(now, key.job)
-            and self._rooms.free_share(service) >= STARVED_FREE_SHARE
-        )
+        spec = state.spec_of(key)
+        service = state.job_by_id[key.job].queue.service
+        search = searches.Search(key, service, spec)
+        if spec.fills and self._is_old(now, key.job):
+            share = self._rooms.free_share(service)
+            is_starved = share >= STARVED_FREE_SHARE
+            search = dataclasses.replace(search, is_starved=is_starved)
+        assignments: list[log_commands.Assignment] = []
+        looks = 0
         kept_from = 0
-        if spec.restarts and not ordering.is_interrupted(step):
+        if spec.restarts:
             kept_from = self._rooms.kept_from(service, step.waiting)
-        search = searches.Search(
-            key, service, spec, is_starved, keeps_gaps=kept_from > 0
-        )
+        if kept_from and ordering.is_interrupted(step):
+            # These have had room before, and somebody has been using them.
+            first = dataclasses.replace(search, only_interrupted=True)
+            assignments, looks = self._search(now, state, first)
+        search = dataclasses.replace(search, kept_from=kept_from)
+        found, looked_at = self._search(now, state, search)
+        return assignments + found, looks + looked_at
+
+    def _search(
+        self, now: float, state: state_lib.State, search: searches.Search
+    ) -> tuple[list[log_commands.Assignment], int]:
+        """Looks for room on the workers that may have some."""
+        spec = search.spec
         known_version = self._searches.known_version(search)
         fitting: list[placement.Slot] = []
         looks = 0
         is_exhaustive = True
-        for slot in self._rooms.changed_since(now, service, known_version):
+        changed = self._rooms.changed_since(now, search.service, known_version)
+        for slot in changed:
             looks += 1
             if slot.fits(spec.needs, spec.fills):
                 fitting.append(slot)
@@ -171,24 +182,20 @@
         demand = None
         chosen: list[tuple[int, placement.Slot]] = []
         if fitting:
-            demand = dataclasses.replace(
-                self._demand(job, key, step),
-                is_starved=is_starved,
-                kept_from=kept_from,
-            )
+            demand = self._demand(state, search)
         if demand is not None and demand.indices:
             chosen = placement.place_step(
                 fitting, demand, self._neighbours.effects
             )
         if chosen:
-            self._rooms.note_taken(service, spec, len(chosen))
-            if is_starved:
-                self._neighbours.keep_in_place(key.job)
+            self._rooms.note_taken(search.service, spec, len(chosen))
+            if search.is_starved:
+                self._neighbours.keep_in_place(search.key.job)
         is_placed = demand is not None and len(chosen) == len(demand.indices)
         if is_exhaustive and not is_placed:
             is_for_all = demand is None or not demand.last_attempts
             self._searches.note_failure(search, self._rooms.version, is_for_all)
-        return chosen, looks
+        return self._assign(state, search.key, chosen), looks
 
     def _reserved_on(self, worker: model.WorkerId) -> Iterator[model.StepSpec]:
         return iter(self._reserved_by_worker.get(worker, {}).values())
@@ -240,12 +247,12 @@
         return sorted(keys, key=lambda key: (rank_by_job[key.job], key))
 
     def _demand(
-        self,
-        job: state_lib.Job,
-        key: state_lib.StepKey,
-        step: state_lib.Step,
+        self, state: state_lib.State, search: searches.Search
     ) -> placement.Demand:
-        spec = job.spec.steps[key.step]
+        key = search.key
+        spec = search.spec
+        job = state.job_by_id[key.job]
+        step = state.open_steps[key]
         indices: list[int] = []
         avoided: dict[int, str] = {}
         last_attempts: set[int] = set()
@@ -259,6 +266,8 @@
                 if worker is not None:
                     counts[worker] = counts.get(worker, 0) + 1
                     continue
+                if search.only_interrupted and not task.run:
+                    continue
                 indices.append(index)
                 if task.worker:
                     avoided[index] = task.worker
@@ -275,4 +284,6 @@
             avoided,
             counts,
             frozenset(last_attempts),
+            is_starved=search.is_starved,
+            kept_from=search.kept_from,
         )
--- a/fulmarrouter/cluster/searches.py
+++ b/fulmarrouter/cluster/searches.py
@@ -23,14 +23,16 @@
 
     Attributes:
         is_starved: Whether it may also find room with a slow pace only.
-        keeps_gaps: Whether room for ordinary tasks is kept from it.
+        kept_from: Millicores from which on room is kept from it, 0 for none.
+        only_interrupted: Whether it is for tasks only that have run before.
     """
 
     key: state_lib.StepKey
     service: model.ServiceName
     spec: model.StepSpec
     is_starved: bool = False
-    keeps_gaps: bool = False
+    kept_from: int = 0
+    only_interrupted: bool = False
 
     @property
     def is_plain(self) -> bool:
@@ -57,7 +59,7 @@
             self.service,
             self.spec.fills,
             self.is_starved,
-            self.keeps_gaps,
+            self.kept_from > 0,
             image,
         )
 
