--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,7 +1,6 @@
 """Steps of platform.feature: the adapter, and real processes that use it."""
 
 import concurrent.futures
-import functools
 import http.client
 import json
 import os
@@ -40,7 +39,8 @@
 FAILING_PAYLOAD = "fail"
 
 
-def _configuration() -> dict[str, Any]:
+def configuration() -> dict[str, Any]:
+    """Returns a configuration with one queue, as an operator sends it."""
     return {
         "version": 7,
         "routes": [
@@ -73,7 +73,7 @@
 
 @when("a configuration with {fault} is decoded")
 def step_configuration(context: Any, fault: str) -> None:
-    given_configuration = _configuration()
+    given_configuration = configuration()
     route = given_configuration["routes"][0]
     match fault:
         case "an unknown service":
@@ -175,7 +175,7 @@
 # Real processes.
 
 
-def _call(
+def call(
     host: str,
     port: int,
     method: str,
@@ -184,6 +184,7 @@
     headers: dict[str, str] | None = None,
     redirects: int = 2,
 ) -> tuple[int, bytes]:
+    """Calls a process, following redirects; returns status and body."""
     connection = http.client.HTTPConnection(host, port, timeout=4)
     try:
         data = None if body is None else json.dumps(body)
@@ -197,7 +198,7 @@
         return response.status, content
     target = urllib.parse.urlsplit(location)
     assert target.hostname and target.port
-    return _call(
+    return call(
         target.hostname,
         target.port,
         method,
@@ -261,7 +262,7 @@
         """Whether the readiness check succeeds."""
         try:
             return (
-                _call(self.host, READY_PORT, "GET", "/api/readiness")[0] == 200
+                call(self.host, READY_PORT, "GET", "/api/readiness")[0] == 200
             )
         except OSError:
             return False
@@ -313,7 +314,7 @@
             }
             path = f"/api/instances/{self._worker}/heartbeat"
             try:
-                status, body = _call(*self._address, "POST", path, heartbeat)
+                status, body = call(*self._address, "POST", path, heartbeat)
                 answer = json.loads(body) if status == 200 else {}
             except (OSError, ValueError, http.client.HTTPException):
                 status, answer = 0, {}
@@ -400,12 +401,12 @@
 @given("an operator's configuration and {count:d} stand-in workers")
 def step_operator(context: Any, count: int) -> None:
     def is_accepted() -> bool:
-        status, _ = _call(
+        status, _ = call(
             context.entry.host,
             CONTROL_PORT,
             "POST",
             "/api/config/replace",
-            _configuration(),
+            configuration(),
         )
         return status == 200
 
@@ -419,49 +420,6 @@
     context.jobs = 0
 
 
-@when(
-    "an operator adds {count:d} routes at the process without a disk, {following}"
-)
-def step_many_routes(context: Any, count: int, following: str) -> None:
-    routes = [
-        {
-            "name": f"r-{number}",
-            "host": "h.example",
-            "path_prefix": f"/many{number}/",
-            "kind": "unsafe",
-            "timeout_ms": 3000,
-            "service": "s1",
-        }
-        for number in range(count)
-    ]
-    configuration = _configuration()
-    configuration["version"] = 8
-    configuration["routes"] += routes
-    context.status, _ = _call(
-        context.entry.host,
-        CONTROL_PORT,
-        "POST",
-        "/api/config/replace",
-        configuration,
-        redirects=2 if following == "following redirects" else 0,
-    )
-
-
-@then("the answer is {status:d}")
-def step_status(context: Any, status: int) -> None:
-    assert context.status == status, context.status
-
-
-@then("every process reads back version {version:d} within {seconds:g} seconds")
-def step_read_back(context: Any, version: int, seconds: float) -> None:
-    def is_read(host: str) -> bool:
-        status, body = _call(host, CONTROL_PORT, "GET", "/api/config/read")
-        return status == 200 and json.loads(body)["version"] == version
-
-    for item in context.processes:
-        wait_for(seconds, functools.partial(is_read, item.host))
-
-
 @when("a caller submits a job to the process without a disk")
 def step_caller(context: Any) -> None:
     _submit(context, "text")
@@ -482,7 +440,7 @@
     body = {"spec": payload, "steps": steps}
 
     def is_accepted() -> bool:
-        status, _ = _call(
+        status, _ = call(
             context.entry.host,
             CALLER_PORT,
             "POST",
@@ -503,7 +461,7 @@
 @then("its state is {state} within {seconds:d} seconds")
 def step_state(context: Any, state: str, seconds: int) -> None:
     def is_reached() -> bool:
-        status, body = _call(
+        status, body = call(
             context.entry.host,
             CALLER_PORT,
             "GET",
@@ -544,7 +502,7 @@
 @when("a caller asks for a queue that does not exist")
 def step_no_queue(context: Any) -> None:
     context.request = "feedc0de00000001"
-    status, _ = _call(
+    status, _ = call(
         context.entry.host,
         CALLER_PORT,
         "GET",
@@ -561,7 +519,7 @@
         item.process.kill()
     context.request = "feedc0de00000002"
     time.sleep(1.5)
-    status, _ = _call(
+    status, _ = call(
         context.entry.host,
         CALLER_PORT,
         "POST",
