Compare the needs of searches with Resources.fits_in

searches.py had written the comparison of two amounts twice; the project has it in commands.Resources. The controller passes the time of an answer without a special case for answers that aren't held. No change of behaviour.

--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -176,9 +176,7 @@
         held_s = report_timing.hold_answer_s(
             bool(request.ended), bool(self.state.open_steps)
         )
-        self._confirmations.add(
-            now, client, request, not_before=now + held_s if held_s else 0.0
-        )
+        self._confirmations.add(now, client, request, not_before=now + held_s)
 
     def _on_submit(
         self,
--- a/fulmarrouter/cluster/searches.py
+++ b/fulmarrouter/cluster/searches.py
@@ -8,6 +8,7 @@
 from collections.abc import Container
 import dataclasses
 
+from fulmarrouter import commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import state as state_lib
 
@@ -68,19 +69,9 @@
 class _Failure:
     """Tasks of this size fit on no worker as of a version."""
 
-    millicores: int
-    memory_mb: int
-    accelerators: int
+    needs: commands.Resources
     version: int
 
-    def covers(self, spec: model.StepSpec) -> bool:
-        """Whether tasks of a step can't fit either."""
-        return (
-            spec.needs.millicores >= self.millicores
-            and spec.needs.memory_mb >= self.memory_mb
-            and spec.needs.accelerators >= self.accelerators
-        )
-
 
 class Searches:
     """Versions of the room index up to which searches have failed."""
@@ -97,8 +88,8 @@
         if not search.is_plain:
             return version
         for failure in self._failures_by_kind.get(search.kind, ()):
-            if failure.version > version and failure.covers(search.spec):
-                version = failure.version
+            if failure.needs.fits_in(search.spec.needs):
+                version = max(version, failure.version)
         return version
 
     def note_failure(
@@ -117,12 +108,12 @@
         if not search.is_plain or not is_for_all:
             return
         needs = search.spec.needs
-        found = _Failure(
-            needs.millicores, needs.memory_mb, needs.accelerators, version
-        )
         failures = self._failures_by_kind.setdefault(search.kind, [])
-        failures[:] = [item for item in failures if not _is_within(item, found)]
-        failures.append(found)
+        # A newer failure of smaller tasks says all that an older one does.
+        failures[:] = [
+            item for item in failures if not needs.fits_in(item.needs)
+        ]
+        failures.append(_Failure(needs, version))
         del failures[:-MAX_FAILURES]
 
     def keep_only(self, keys: Container[state_lib.StepKey]) -> None:
@@ -130,12 +121,3 @@
         for known in list(self._version_by_step):
             if known[0] not in keys:
                 del self._version_by_step[known]
-
-
-def _is_within(old: _Failure, new: _Failure) -> bool:
-    """Whether a failure says nothing that a newer one doesn't say."""
-    return (
-        old.millicores >= new.millicores
-        and old.memory_mb >= new.memory_mb
-        and old.accelerators >= new.accelerators
-    )
