--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -41,16 +41,18 @@
     Given a gateway that <leader>
     When a job is submitted and <what happened>
     Then the caller is told <answer>
+    And the tries that failed are counted as <retries>
 
     Examples:
-      | leader             | what happened                          | answer             |
-      | knows no leader    | no leader is found                     | KEEPER_UNAVAILABLE |
-      | knows a leader     | the leader never replies               | PROPOSAL_UNKNOWN   |
-      | knows a leader     | the leader says that it does not lead  | KEEPER_UNAVAILABLE |
-      | knows a leader     | the process ends                       | PROPOSAL_UNKNOWN   |
-      | knows no leader    | the process ends                       | KEEPER_UNAVAILABLE |
-      | knows a leader     | the leader accepts it                  | accepted           |
-      | knows a leader     | the leader fails over and accepts it   | accepted           |
+      | leader             | what happened                          | answer             | retries           |
+      | knows no leader    | no leader is found                     | KEEPER_UNAVAILABLE | none              |
+      | knows a leader     | the leader never replies               | PROPOSAL_UNKNOWN   | NO_REPLY          |
+      | knows a leader     | the leader says that it does not lead  | KEEPER_UNAVAILABLE | NOT_LEADER        |
+      | knows a leader     | the connection ends                    | PROPOSAL_UNKNOWN   | CONNECTION_CLOSED |
+      | knows a leader     | the process ends                       | PROPOSAL_UNKNOWN   | none              |
+      | knows no leader    | the process ends                       | KEEPER_UNAVAILABLE | none              |
+      | knows a leader     | the leader accepts it                  | accepted           | none              |
+      | knows a leader     | the leader fails over and accepts it   | accepted           | CONNECTION_CLOSED |
 
   Scenario Outline: The next membership when <situation>
     Given a leading keeper with <voters> voters and <situation>
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -211,6 +211,7 @@
 
     def __init__(self) -> None:
         self.sent: list[tuple[str, ids.CallId, requests.AnyRequest]] = []
+        self.retries: list[gateway_lib.RetryReason] = []
 
     def send_request(
         self, address: str, call: ids.CallId, request: requests.AnyRequest
@@ -221,6 +222,9 @@
     def drop_peer(self, address: str, reason: str) -> None:
         del address, reason
 
+    def count_retry(self, reason: gateway_lib.RetryReason) -> None:
+        self.retries.append(reason)
+
 
 @given("a gateway that {leader}")
 def step_gateway(context: Any, leader: str) -> None:
@@ -255,6 +259,8 @@
             _, call = _last_submission(context)
             refused = requests.Refused(codes.Code.NOT_LEADER)
             gateway.on_reply(0.1, call, refused)
+        case "the connection ends":
+            gateway.on_closed(0.1, LEADER)
         case "the process ends":
             gateway.give_up_all()
             assert context.replies
@@ -279,6 +285,13 @@
     assert reply.code is codes.Code[answer]
 
 
+@then("the tries that failed are counted as {reasons}")
+def step_counted(context: Any, reasons: str) -> None:
+    counted = {reason.name for reason in context.carrier.retries}
+    expected = set() if reasons == "none" else {reasons}
+    assert counted == expected, counted
+
+
 # Membership.
 
 
--- a/fulmarrouter/cluster/gateway.py
+++ b/fulmarrouter/cluster/gateway.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import enum
 from typing import Protocol
 
 from fulmarrouter import codes
@@ -24,6 +25,15 @@
 OnReply = Callable[[requests.AnyReply], None]
 
 
+class RetryReason(enum.Enum):
+    """Why a try at the leader has ended without an answer to the request."""
+
+    NO_REPLY = "no_reply"
+    NOT_LEADER = "not_leader"
+    LEADER_DEPOSED = "leader_deposed"
+    CONNECTION_CLOSED = "connection_closed"
+
+
 class Carrier(Protocol):
     """What carries requests to other processes."""
 
@@ -35,6 +45,9 @@
     def drop_peer(self, address: str, reason: str) -> None:
         """Closes the connection to an address."""
 
+    def count_retry(self, reason: RetryReason) -> None:
+        """Counts a try that has to be repeated."""
+
 
 @dataclasses.dataclass
 class _Pending:
@@ -113,6 +126,7 @@
                 codes.Code.KEEPER_UNAVAILABLE,
             ):
                 # The deposed leader may have passed it on; ask its successor.
+                self._carrier.count_retry(RetryReason.LEADER_DEPOSED)
                 self._forget_leader(pending.sent_to)
                 pending.sent_to = ""
                 return
@@ -124,6 +138,7 @@
         self._forget_leader(address)
         for pending in self._pending.values():
             if pending.sent_to == address:
+                self._carrier.count_retry(RetryReason.CONNECTION_CLOSED)
                 pending.sent_to = ""
         self._locate_due = min(self._locate_due, now)
 
@@ -156,6 +171,7 @@
                 pending.on_reply(self._given_up(pending))
                 continue
             if pending.sent_to and now - pending.sent_at > TRY_TIMEOUT_S:
+                self._carrier.count_retry(RetryReason.NO_REPLY)
                 if pending.sent_to != self._own_address:
                     self._carrier.drop_peer(pending.sent_to, "no reply")
                 self._forget_leader(pending.sent_to)
@@ -201,6 +217,7 @@
         reply: requests.Refused,
     ) -> None:
         """Goes to the leader that was named; this try was not taken in."""
+        self._carrier.count_retry(RetryReason.NOT_LEADER)
         asked = pending.sent_to
         pending.sent_to = ""
         pending.uncertain_tries = max(0, pending.uncertain_tries - 1)
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -258,6 +258,10 @@
         """Closes the connection to a process."""
         self._peers.drop_peer(address, reason)
 
+    def count_retry(self, reason: gateway_lib.RetryReason) -> None:
+        """Counts a try at the leader that has to be repeated."""
+        self.registry.count("leader_retries", reason=reason.value)
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
