--- a/features/support/suite.py
+++ b/features/support/suite.py
@@ -34,7 +34,7 @@
         )
         features = json.loads(report.read_text() or "[]")
     status_by_name = {
-        element["name"]: element["status"]
+        element["name"].strip(): element["status"]
         for feature in features
         for element in feature.get("elements", [])
         if element["type"] == "scenario"
