--- /dev/null
+++ b/features/steps/handover_steps.py
@@ -0,0 +1,216 @@
+"""Steps of handover.feature: replicas under load in simulated time."""
+
+import heapq
+import itertools
+import random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from fulmarrouter import commands
+from fulmarrouter import consensus
+from fulmarrouter import messages
+from fulmarrouter import raft_log
+
+TURN_S = 0.002
+SYNC_S = 0.009
+WARM_UP_S = 3.0
+HISTORIES = 20
+
+
+class _Keeper:
+    """A replica on a disk that takes its time."""
+
+    def __init__(self, replica: consensus.Replica) -> None:
+        self.replica = replica
+        self.synced_at = 0.0
+        self.writing: list[tuple[float, consensus.Output, int, int]] = []
+        self.held_back: list[consensus.Outbound] = []
+        self.committed: list[bytes] = []
+
+
+class _Quorum:
+    """Voters that lead, replicate and hand over, without any fault."""
+
+    def __init__(self, voters: int, load: int, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._load = load
+        self._order = itertools.count()
+        self._events: list[tuple[float, int, Any]] = []
+        self._proposed = 0.0
+        self._number = 0
+        self.now = 0.0
+        self.is_cut = False
+        members = messages.Membership(
+            tuple(
+                commands.KeeperAddress(f"k{n}", f"10.0.0.{n}", 7000)
+                for n in range(voters)
+            )
+        )
+        saved = consensus.Saved(
+            consensus.HardState(),
+            raft_log.SnapshotData(1, 1, members, b""),
+            (),
+        )
+        self.keeper_by_name = {
+            member.keeper: _Keeper(
+                consensus.Replica(
+                    member.keeper,
+                    saved,
+                    consensus.Timing(),
+                    random.Random(self._rng.random()),
+                    0.0,
+                )
+            )
+            for member in members.voters
+        }
+        self.run(WARM_UP_S)
+
+    def leader(self) -> _Keeper | None:
+        """Returns the keeper that leads the highest term, if one does."""
+        leading = [
+            item
+            for item in self.keeper_by_name.values()
+            if item.replica.leads_with_committed_entry
+        ]
+        return max(leading, key=lambda x: x.replica.term, default=None)
+
+    def propose(self, keeper: _Keeper) -> bool:
+        """Proposes a command as a leader's owner does."""
+        replica = keeper.replica
+        if not replica.leads_with_committed_entry:
+            return False
+        self._number += 1
+        return replica.propose(b"%d" % self._number) is not None
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TURN_S
+            while self._events and self._events[0][0] <= self.now:
+                heapq.heappop(self._events)[2]()
+            self._proposed += self._load * TURN_S
+            due, self._proposed = divmod(self._proposed, 1)
+            for keeper in self.keeper_by_name.values():
+                for _ in range(int(due)):
+                    self.propose(keeper)
+                self._turn(keeper)
+
+    def _turn(self, keeper: _Keeper) -> None:
+        replica = keeper.replica
+        was_leader = replica.is_leader
+        replica.tick(self.now)
+        if replica.is_leader and not was_leader:
+            replica.propose(b"elected")
+        replica.flush(self.now)
+        output = replica.take_output()
+        for outbound in output.before_sync:
+            self._send(replica.keeper, outbound)
+        if output.needs_sync:
+            begun = max(self.now, keeper.synced_at)
+            keeper.synced_at = begun + SYNC_S
+            output.after_sync = keeper.held_back + output.after_sync
+            keeper.held_back = []
+            keeper.writing.append(
+                (
+                    keeper.synced_at,
+                    output,
+                    replica.term,
+                    replica.log.last_index,
+                )
+            )
+        else:
+            keeper.held_back += output.after_sync
+        while keeper.writing and keeper.writing[0][0] <= self.now:
+            _, written, term, last_index = keeper.writing.pop(0)
+            for outbound in written.after_sync:
+                self._send(replica.keeper, outbound)
+            if term == replica.term:
+                replica.mark_durable(last_index)
+        if not keeper.writing:
+            for outbound in keeper.held_back:
+                self._send(replica.keeper, outbound)
+            keeper.held_back = []
+        keeper.committed += [x.data for x in replica.take_committed()]
+
+    def _send(self, sender: str, outbound: consensus.Outbound) -> None:
+        if self.is_cut:
+            return
+
+        def arrive() -> None:
+            replica = self.keeper_by_name[outbound.to].replica
+            was_leader = replica.is_leader
+            replica.step(self.now, sender, outbound.message)
+            if replica.is_leader and not was_leader:
+                replica.propose(b"elected")
+
+        delay = self._rng.uniform(0.0005, 0.003)
+        event = (self.now + delay, next(self._order), arrive)
+        heapq.heappush(self._events, event)
+
+
+@given("{voters:d} voters and a leader with {load:d} commands a second")
+def step_quorum(context: Any, voters: int, load: int) -> None:
+    context.voters = voters
+    context.load = load
+
+
+def _hand_over(quorum: _Quorum) -> float:
+    """Returns the seconds until another keeper leads."""
+    old = quorum.leader()
+    assert old is not None
+    begun = quorum.now
+    old.replica.transfer_leadership()
+    while quorum.now < begun + 5.0:
+        quorum.run(TURN_S)
+        new = quorum.leader()
+        if new is not None and new is not old:
+            break
+    return quorum.now - begun
+
+
+@when("the leader hands over, in each of 20 histories")
+def step_hand_over(context: Any) -> None:
+    context.quorums = [
+        _Quorum(context.voters, context.load, seed) for seed in range(HISTORIES)
+    ]
+    context.took = [_hand_over(quorum) for quorum in context.quorums]
+
+
+@then("another keeper leads within {limit:f} s in all of them")
+def step_within(context: Any, limit: float) -> None:
+    late = [round(took, 2) for took in context.took if took > limit]
+    assert not late, f"{len(late)} of {HISTORIES} took {late} s"
+
+
+@then("no committed command is lost")
+def step_none_lost(context: Any) -> None:
+    for quorum in context.quorums:
+        quorum.run(1.0)
+        logs = [x.committed for x in quorum.keeper_by_name.values()]
+        longest = max(logs, key=len)
+        for log in logs:
+            assert log == longest[: len(log)]
+
+
+@when("the leader hands over and no other keeper hears of it")
+def step_unheard(context: Any) -> None:
+    quorum = _Quorum(context.voters, context.load, 0)
+    context.quorum = quorum
+    leader = quorum.leader()
+    assert leader is not None
+    context.leader = leader
+    quorum.is_cut = True
+    leader.replica.transfer_leadership()
+    quorum.run(0.2)
+    quorum.is_cut = False
+
+
+@then("it takes commands again within {limit:f} s")
+def step_again(context: Any, limit: float) -> None:
+    context.quorum.run(limit)
+    assert context.quorum.leader() is context.leader
+    assert context.quorum.propose(context.leader)
--- /dev/null
+++ b/features/steps/leader_link_steps.py
@@ -0,0 +1,264 @@
+"""Steps of leader_link.feature: a gateway over links that take their time."""
+
+import dataclasses
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from fulmarrouter import addresses
+from fulmarrouter import codes
+from fulmarrouter import ids
+from fulmarrouter import settings as settings_lib
+from fulmarrouter.cluster import gateway as gateway_lib
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import node as node_lib
+from fulmarrouter.cluster import requests
+
+OWN = "127.0.0.1:17720"
+LEADER = "127.0.0.1:17721"
+CONTROL_PORT = 17722
+TURN_S = 0.01
+CALLER_TIMEOUT_S = 2.5
+LEADER_WORK_S = 0.02  # From a request's last byte to the reply at its sender.
+
+
+def _configuration() -> model.Configuration:
+    return model.Configuration(1, "digest", b"{}", (), ())
+
+
+REQUEST_BY_NAME: dict[str, requests.AnyRequest] = {
+    "a new configuration": requests.ReplaceConfiguration(_configuration()),
+    "the configuration held": requests.ReadConfiguration(),
+    "a job's state": requests.ShowTarget("host", "/q/1"),
+}
+
+
+# A process that learns who leads.
+
+
+@given("a process {kind} that knows no leader")
+def step_process(context: Any, kind: str) -> None:
+    folder = context.folder / "data"
+    settings = settings_lib.NodeSettings(
+        role=settings_lib.Role.NODE,
+        name="n",
+        domain="z",
+        host=addresses.host_of(OWN),
+        peer_port=addresses.port_of(OWN),
+        control=f"{addresses.host_of(OWN)}:{CONTROL_PORT}",
+        data_folder=str(folder) if kind == "with a disk" else "",
+    )
+    node = node_lib.Node(settings, [])
+    context.sent = []
+
+    def send_request(address: str, call: ids.CallId, request: Any) -> bool:
+        del call
+        context.sent.append((address, request))
+        return True
+
+    node.send_request = send_request  # type: ignore[method-assign]
+    context.node = node
+
+
+@when("{name} is asked there and the process learns who leads")
+def step_ask(context: Any, name: str) -> None:
+    context.replies = []
+    request = REQUEST_BY_NAME[name]
+    context.node.ask(request, CALLER_TIMEOUT_S, context.replies.append)
+    assert not context.sent and not context.replies
+    context.node.gateway.learn_leader(0.0, LEADER)
+    # Ends at once: stops the process and closes its sockets.
+    context.node.stop()
+    context.node.run()
+
+
+@then("{name} is sent on to the leader")
+def step_sent_on(context: Any, name: str) -> None:
+    assert not context.sent, f"{name} was passed on"
+    (reply,) = context.replies
+    host = addresses.host_of(LEADER)
+    assert reply == requests.Elsewhere(f"{host}:{CONTROL_PORT}"), reply
+
+
+@then("{name} is passed on by the process")
+def step_passed_on(context: Any, name: str) -> None:
+    assert context.sent == [(LEADER, REQUEST_BY_NAME[name])]
+    assert not context.replies
+
+
+# A link that takes its time.
+
+
+@dataclasses.dataclass
+class _InFlight:
+    call: ids.CallId
+    arrives_at: float
+
+
+class _SlowLink:
+    """Carries requests to a leader, one after the other, at a given rate."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self.now = 0.0
+        self.bytes_per_s = bytes_per_s
+        self.leader_is_silent = False
+        self.sent: list[requests.AnyRequest] = []
+        self.drops = 0
+        self._free_at = 0.0
+        self._in_flight: list[_InFlight] = []
+
+    def send_request(
+        self, address: str, call: ids.CallId, request: requests.AnyRequest
+    ) -> bool:
+        if address != LEADER:
+            return True
+        self.sent.append(request)
+        size = len(requests.encode(request))
+        self._free_at = max(self._free_at, self.now) + size / self.bytes_per_s
+        arrives_at = self._free_at + LEADER_WORK_S
+        self._in_flight.append(_InFlight(call, arrives_at))
+        return True
+
+    def seconds_to_send(self) -> float:
+        return max(0.0, self._free_at - self.now)
+
+    def drop_peer(self, address: str, reason: str) -> None:
+        del address, reason
+        self.drops += 1
+        self._in_flight = []
+        self._free_at = self.now
+
+    def count_retry(self, reason: gateway_lib.RetryReason) -> None:
+        del reason
+
+    def answered(self) -> list[ids.CallId]:
+        """Returns the calls whose replies have arrived since."""
+        if self.leader_is_silent:
+            return []
+        done = [x for x in self._in_flight if x.arrives_at <= self.now]
+        self._in_flight = [x for x in self._in_flight if x not in done]
+        return [x.call for x in done]
+
+
+@given("a process whose link to the leader takes {rate:d} KB/s")
+def step_link(context: Any, rate: int) -> None:
+    context.link = _SlowLink(rate * 1000)
+    context.gateway = gateway_lib.Gateway(context.link, OWN, ())
+    context.gateway.learn_leader(0.0, LEADER)
+    context.replies = []
+    context.submitted = []
+
+
+@when("a caller submits a job of {size:d} KB there")
+def step_submit(context: Any, size: int) -> None:
+    number = len(context.submitted)
+    spec = model.JobSpec("x" * (size * 1000), ())
+    request = requests.SubmitJob("host", f"/q/{number}", spec)
+    context.submitted.append(request)
+    context.gateway.ask(
+        context.link.now, request, CALLER_TIMEOUT_S, context.replies.append
+    )
+
+
+def _run(context: Any, seconds: float) -> None:
+    link, gateway = context.link, context.gateway
+    end = link.now + seconds
+    while link.now < end:
+        link.now += TURN_S
+        for call in link.answered():
+            gateway.on_reply(link.now, call, requests.Accepted())
+        gateway.tick(link.now)
+        gateway.learn_leader(link.now, LEADER)
+
+
+@then("the caller is answered in time that the job is accepted")
+@then("both callers are answered in time that the job is accepted")
+def step_accepted(context: Any) -> None:
+    _run(context, CALLER_TIMEOUT_S)
+    accepted = [requests.Accepted()] * len(context.submitted)
+    assert context.replies == accepted, context.replies
+
+
+@then("the job was sent once")
+@then("each job was sent once")
+def step_once(context: Any) -> None:
+    assert context.link.sent == context.submitted, len(context.link.sent)
+
+
+@when("the leader falls silent and a caller submits a job of {size:d} KB there")
+def step_silent(context: Any, size: int) -> None:
+    context.link.leader_is_silent = True
+    step_submit(context, size)
+
+
+@then("the process looks for another leader within 1 second")
+def step_looks(context: Any) -> None:
+    _run(context, 1.0)
+    assert context.link.drops == 1, context.link.drops
+
+
+# A leader that no longer leads.
+
+
+class _RefusedSends:
+    """Carries requests to a process that refuses each after a moment."""
+
+    def __init__(self) -> None:
+        self.calls: list[ids.CallId] = []
+        self.sent_by_request: dict[requests.AnyRequest, int] = {}
+
+    def send_request(
+        self, address: str, call: ids.CallId, request: requests.AnyRequest
+    ) -> bool:
+        if address == LEADER:
+            self.calls.append(call)
+            known = self.sent_by_request.get(request, 0)
+            self.sent_by_request[request] = known + 1
+        return True
+
+    def seconds_to_send(self) -> float:
+        return 0.0
+
+    def drop_peer(self, address: str, reason: str) -> None:
+        del address, reason
+
+    def count_retry(self, reason: gateway_lib.RetryReason) -> None:
+        del reason
+
+
+@given("a keeper that still takes a deposed leader for the leader")
+def step_deposed(context: Any) -> None:
+    context.link = _RefusedSends()
+    context.gateway = gateway_lib.Gateway(context.link, OWN, ())
+    context.gateway.learn_leader(0.0, LEADER)
+
+
+@when(
+    "{count:d} requests wait there for {seconds:f} s and the deposed leader"
+    " refuses each"
+)
+def step_refused(context: Any, count: int, seconds: float) -> None:
+    link, gateway = context.link, context.gateway
+    context.seconds = seconds
+    for number in range(count):
+        request = requests.ShowTarget("host", f"/q/{number}")
+        gateway.ask(0.0, request, CALLER_TIMEOUT_S, lambda reply: None)
+    refused = requests.Refused(codes.Code.NOT_LEADER)
+    now = 0.0
+    while now < seconds:
+        now += TURN_S
+        calls, link.calls = link.calls, []
+        for call in calls:
+            gateway.on_reply(now, call, refused)
+        gateway.tick(now)
+        # What a keeper does each turn until it hears of a new leader.
+        gateway.learn_leader(now, LEADER)
+
+
+@then("each was sent to it at most once in {interval:f} s")
+def step_paced(context: Any, interval: float) -> None:
+    most = max(context.link.sent_by_request.values())
+    allowed = 1 + int(context.seconds / interval)
+    assert most <= allowed, f"{most} times, allowed {allowed}"
