Send operators on to the leader also when it is found after they asked

What callers saw: a configuration of a thousand routes was neither taken nor given back by processes without a disk for as long as one was being found. Cause: whether to send an operator on was decided when the call came. With no leader known then, the request waited and was passed on over the link of 2 Mbit/s once there was one, where it can't end before its try is given up; the connection that is dropped then carries all other requests too. Why it works: the gateway decides at the moment at which it would send.

--- a/fulmarrouter/cluster/gateway.py
+++ b/fulmarrouter/cluster/gateway.py
@@ -9,6 +9,7 @@
 import enum
 from typing import Protocol
 
+from fulmarrouter import addresses
 from fulmarrouter import codes
 from fulmarrouter import ids
 from fulmarrouter.cluster import requests
@@ -21,6 +22,9 @@
 LEADERLESS_PATIENCE_S = 0.8
 RETRY_AFTER_MS = 1000
 MAX_MEMBERS = 16  # More keepers than any deployment has.
+# A configuration of a thousand routes takes longer than a second over the link
+# of a VM without a disk, so that its operators are sent to the leader.
+LARGE_REQUESTS = (requests.ReplaceConfiguration, requests.ReadConfiguration)
 
 OnReply = Callable[[requests.AnyReply], None]
 
@@ -67,16 +71,23 @@
         carrier: Sends requests.
         own_address: This process's address as host:port.
         seeds: Addresses that may know more.
+        redirect_port: Port of the leader's operators' interface, to which
+            large requests are sent on; 0 where they are passed on from here.
     """
 
     def __init__(
-        self, carrier: Carrier, own_address: str, seeds: tuple[str, ...]
+        self,
+        carrier: Carrier,
+        own_address: str,
+        seeds: tuple[str, ...],
+        redirect_port: int = 0,
     ) -> None:
         self.leader = ""
         self.members: tuple[str, ...] = ()
         self.seeds = seeds
         self._carrier = carrier
         self._own_address = own_address
+        self._redirect_port = redirect_port
         self._pending: dict[ids.CallId, _Pending] = {}
         self._locating: dict[ids.CallId, str] = {}
         self._next_call = 1
@@ -204,6 +215,13 @@
     ) -> None:
         if not self.leader:
             return
+        if self._redirect_port and isinstance(pending.request, LARGE_REQUESTS):
+            del self._pending[call]
+            host = addresses.host_of(self.leader)
+            pending.on_reply(
+                requests.Elsewhere(f"{host}:{self._redirect_port}")
+            )
+            return
         if self._carrier.send_request(self.leader, call, pending.request):
             pending.sent_to = self.leader
             pending.sent_at = now
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -55,9 +55,6 @@
 # Worker leases outlast an election and a short cut; longer ones would delay
 # the work of a crashed worker more.
 WORKER_LEASE_S = 6.0
-# A configuration of a thousand routes takes longer than a second over the link
-# of a VM without a disk, so that its operators are sent to the leader.
-LARGE_REQUESTS = (requests.ReplaceConfiguration, requests.ReadConfiguration)
 LOCAL = ids.ConnectionId(0)
 FOUNDING_TERM = 1
 
@@ -124,8 +121,14 @@
             self._selector,
             self._on_incoming,
         )
+        redirect_port = 0
+        if self.controller is None:
+            redirect_port = addresses.port_of(settings.control)
         self.gateway = gateway_lib.Gateway(
-            self, self._address, self._peers_at(settings.seeds)
+            self,
+            self._address,
+            self._peers_at(settings.seeds),
+            redirect_port,
         )
         self._announcements = membership.Announcements()
         self._connection_by_sender: dict[str, ids.ConnectionId] = {}
@@ -228,13 +231,6 @@
                 )
             )
             return
-        leader = self.gateway.leader
-        is_large = isinstance(request, LARGE_REQUESTS)
-        if is_large and leader and self.controller is None:
-            port = addresses.port_of(self.settings.control)
-            host = addresses.host_of(leader)
-            on_reply(requests.Elsewhere(f"{host}:{port}"))
-            return
         self.gateway.ask(time.monotonic(), request, timeout_s, on_reply)
 
     def send_request(
