Give a request to the leader the time that it takes to leave over the link

What callers saw: a job of 200 KB or more, handed in at a process with a link of 2 Mbit/s, was never accepted there, and small requests behind it were repeated or answered 504. Cause: a try ended 0.8 s after it was handed to the connection, while the request was still being sent; the connection was then dropped, with all other requests on it, and the next try began anew. Why it works: the time for a reply begins when the request has left, by the link's rate in the settings and what was handed to it before. A silent leader is still given up after 0.8 s (a scenario of its own).

--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -219,6 +219,9 @@
         self.sent.append((address, call, request))
         return True
 
+    def seconds_to_send(self) -> float:
+        return 0.0
+
     def drop_peer(self, address: str, reason: str) -> None:
         del address, reason
 
--- a/fulmarrouter/cluster/gateway.py
+++ b/fulmarrouter/cluster/gateway.py
@@ -14,8 +14,9 @@
 from fulmarrouter import ids
 from fulmarrouter.cluster import requests
 
-# Time that a leader has to answer before it is looked for again. Longer than
-# a commit on a slow disk, short enough for two tries within a heartbeat.
+# Time that a leader has to answer, from when a request has left this VM, before
+# it is looked for again. Longer than a commit on a slow disk, short enough for
+# two tries within a heartbeat.
 TRY_TIMEOUT_S = 0.8
 LOCATE_INTERVAL_S = 0.15
 # A caller is not kept waiting longer than this while no leader is known.
@@ -46,6 +47,9 @@
     ) -> bool:
         """Sends a request; False where the address can't be reached now."""
 
+    def seconds_to_send(self) -> float:
+        """Returns the seconds until all that was sent has left this VM."""
+
     def drop_peer(self, address: str, reason: str) -> None:
         """Closes the connection to an address."""
 
@@ -60,7 +64,7 @@
     asked_at: float
     deadline: float
     sent_to: str = ""
-    sent_at: float = 0.0
+    give_up_at: float = 0.0
     uncertain_tries: int = 0
 
 
@@ -181,7 +185,7 @@
                 del self._pending[call]
                 pending.on_reply(self._given_up(pending))
                 continue
-            if pending.sent_to and now - pending.sent_at > TRY_TIMEOUT_S:
+            if pending.sent_to and now > pending.give_up_at:
                 self._carrier.count_retry(RetryReason.NO_REPLY)
                 if pending.sent_to != self._own_address:
                     self._carrier.drop_peer(pending.sent_to, "no reply")
@@ -224,7 +228,8 @@
             return
         if self._carrier.send_request(self.leader, call, pending.request):
             pending.sent_to = self.leader
-            pending.sent_at = now
+            on_the_way_s = self._carrier.seconds_to_send()
+            pending.give_up_at = now + on_the_way_s + TRY_TIMEOUT_S
             pending.uncertain_tries += 1
 
     def _on_not_leader(
--- /dev/null
+++ b/fulmarrouter/cluster/link_clock.py
@@ -0,0 +1,34 @@
+"""Tells when a VM's link will have sent what was handed to it.
+
+Pure. Load it answers: a large job, or many reports, at a VM whose link takes
+longer for them than a leader usually takes to reply.
+"""
+
+BYTES_PER_MBIT = 125_000
+
+
+class LinkClock:
+    """Counts what was handed to a link and what has left it since.
+
+    Args:
+        mbps: Rate of the link in Mbit/s, 0 where it is unknown; sending then
+            counts as taking no time.
+    """
+
+    def __init__(self, mbps: float) -> None:
+        self._bytes_per_s = mbps * BYTES_PER_MBIT
+        self._free_at = float("-inf")
+
+    def note_sent(self, now: float, size: int) -> None:
+        """Notes that a message of some bytes was handed to the link."""
+        if self._bytes_per_s:
+            begun = max(self._free_at, now)
+            self._free_at = begun + size / self._bytes_per_s
+
+    def seconds_to_send(self, now: float) -> float:
+        """Returns the seconds until all of it has left."""
+        return max(0.0, self._free_at - now)
+
+    def forget(self) -> None:
+        """Notes that what had not left was dropped with its connection."""
+        self._free_at = float("-inf")
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -35,6 +35,7 @@
 from fulmarrouter.cluster import draining
 from fulmarrouter.cluster import gateway as gateway_lib
 from fulmarrouter.cluster import identity
+from fulmarrouter.cluster import link_clock
 from fulmarrouter.cluster import membership
 from fulmarrouter.cluster import notes
 from fulmarrouter.cluster import requests
@@ -121,6 +122,7 @@
             self._selector,
             self._on_incoming,
         )
+        self._link = link_clock.LinkClock(settings.link_mbps)
         redirect_port = 0
         if self.controller is None:
             redirect_port = addresses.port_of(settings.control)
@@ -247,12 +249,20 @@
                 request,
             )
             return True
-        body = wire.Call(call, requests.encode(request))
-        return self._peers.send_to_peer(address, body)
+        payload = requests.encode(request)
+        is_sent = self._peers.send_to_peer(address, wire.Call(call, payload))
+        if is_sent:
+            self._link.note_sent(time.monotonic(), len(payload))
+        return is_sent
+
+    def seconds_to_send(self) -> float:
+        """Returns the seconds until all requests have left this VM."""
+        return self._link.seconds_to_send(time.monotonic())
 
     def drop_peer(self, address: str, reason: str) -> None:
         """Closes the connection to a process."""
         self._peers.drop_peer(address, reason)
+        self._link.forget()
 
     def count_retry(self, reason: gateway_lib.RetryReason) -> None:
         """Counts a try at the leader that has to be repeated."""
--- a/fulmarrouter/settings.py
+++ b/fulmarrouter/settings.py
@@ -185,6 +185,7 @@
             the other keepers read those of more.
         reports_per_s: Reports that workers send a leader in a second, beside
             those on ends.
+        link_mbps: Rate of the VM's link in Mbit/s, 0 where it is unknown.
     """
 
     role: Role
@@ -206,6 +207,7 @@
     advice: OptionalAddress = ""
     direct_workers: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 48
     reports_per_s: Annotated[int, msgspec.Meta(ge=10, le=100_000)] = 500
+    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 0.0
     election: Election = Election()
 
 
