Do not ask a process again at once that has said that it does not lead

What callers saw: for 1.2 s after a planned stop of the leader all was refused or late, and what followed it came late too. Cause: a keeper takes the last leader it heard for the leader until an election, and taught its gateway so each turn; the gateway sent everything that waits, was refused, forgot the leader, and learned of it again in the next turn. Evidence: features/leader_link.feature, each request was sent 80 times in 0.8 s before. Why it works: a process that has refused is not taken for the leader for 0.15 s, whoever names it.

--- a/fulmarrouter/cluster/gateway.py
+++ b/fulmarrouter/cluster/gateway.py
@@ -19,6 +19,9 @@
 # two tries within a heartbeat.
 TRY_TIMEOUT_S = 0.8
 LOCATE_INTERVAL_S = 0.15
+# How long a process that has refused is not taken for the leader again. Others
+# go on naming it until they hear of an election.
+REFUSED_PAUSE_S = 0.15
 # A caller is not kept waiting longer than this while no leader is known.
 LEADERLESS_PATIENCE_S = 0.8
 RETRY_AFTER_MS = 1000
@@ -94,6 +97,7 @@
         self._redirect_port = redirect_port
         self._pending: dict[ids.CallId, _Pending] = {}
         self._locating: dict[ids.CallId, str] = {}
+        self._refused_until_by_address: dict[str, float] = {}
         self._next_call = 1
         self._locate_due = 0.0
         self._locate_turn = 0
@@ -161,6 +165,8 @@
         """Notes where the leader is."""
         if not address or address == self.leader:
             return
+        if now < self._refused_until_by_address.get(address, 0.0):
+            return
         self.leader = address
         for call, pending in list(self._pending.items()):
             if not pending.sent_to:
@@ -245,7 +251,9 @@
         pending.sent_to = ""
         pending.uncertain_tries = max(0, pending.uncertain_tries - 1)
         self._forget_leader(asked)
-        if reply.leader and reply.leader != asked:
+        if asked:
+            self._refused_until_by_address[asked] = now + REFUSED_PAUSE_S
+        if reply.leader != asked:
             self.learn_leader(now, reply.leader)
         if not pending.sent_to and self.leader:
             self._try_send(now, call, pending)
