--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -14,6 +14,14 @@
     When 5 cluster histories with an isolated leader are played
     Then no history breaks a promise
 
+  Scenario Outline: A disk is lost while all other keepers lose power, seeds <first> to <last>
+    When cluster histories <first> to <last> with a loss of power are played
+    Then no history breaks a promise
+
+    Examples:
+      | first | last |
+      | 0     | 9    |
+
   Scenario Outline: The histories notice when <mechanism>
     When cluster histories are played while <mechanism>
     Then at least one history breaks a promise
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -64,6 +64,16 @@
             context.broken.append(f"seed {seed}: {error}")
 
 
+@when("cluster histories {first:d} to {last:d} with a loss of power are played")
+def step_play_power(context: Any, first: int, last: int) -> None:
+    context.broken = []
+    for seed in range(first, last + 1):
+        try:
+            cluster_histories.play_power_loss(seed)
+        except cluster_histories.ViolationError as error:
+            context.broken.append(f"seed {seed}: {error}")
+
+
 @then("no history breaks a promise")
 def step_none_broken(context: Any) -> None:
     assert not context.broken, context.broken
--- a/features/support/cluster_histories.py
+++ b/features/support/cluster_histories.py
@@ -716,6 +716,39 @@
     return history
 
 
+def play_power_loss(seed: int) -> History:
+    """Plays a lost disk, while all other keepers lose power with it, twice.
+
+    It strikes at the moment at which something is acknowledged.
+
+    Raises:
+        ViolationError: Something that must always hold did not.
+    """
+    history = History(seed)
+    history.run_until(6.0)
+    history.configure(1)
+    history.run_until(6.5)
+    rng = random.Random(seed * 7919 + 2)
+    for version in (2, 3):
+        for _ in range(3):
+            history.submit()
+        history.run_until(history.now + rng.uniform(0.02, 0.5))
+        history.configure(version)
+        patience = history.now + 5.0
+        while history.version_acked < version and history.now < patience:
+            history.run_until(history.now + TICK_S)
+        wiped = rng.choice(history.hosts)
+        for host in history.hosts:
+            history.crash(host, wipe=host is wiped)
+        for host in rng.sample(history.hosts, len(history.hosts)):
+            history.run_until(history.now + rng.uniform(0.0, 1.0))
+            history.restart(host)
+        # Until the quorum bears the loss of a disk again.
+        history.run_until(history.now + 10.0)
+    history.quiesce()
+    return history
+
+
 def _harm_keeper(history: History, rng: random.Random) -> None:
     """Harms one keeper at most: that is what the deployment bears."""
     harmed = [
