--- a/bench/load_player.py
+++ b/bench/load_player.py
@@ -654,6 +654,19 @@
         filling=Shape(39, 7000, 2200),
         serving_width=24.0,
     ),
+    # A third of a deployment of 176 workers with wide filling jobs, of which
+    # more arrive in the middle than the idle processors can run.
+    "wide": Scenario(
+        workers=58,
+        urgent_per_s=3.0,
+        filling_per_s=2.85,
+        burst=1.4,
+        serving_per_s=0.1,
+        serving_stay_s=70.0,
+        urgent=Shape(10, 8_100, 640),
+        filling=Shape(20, 7000, 2200),
+        serving_width=14.0,
+    ),
     "steady": Scenario(),
     "burst": Scenario(burst=2.0),
     "overload": Scenario(filling_per_s=6.0),
