Refuse jobs that no process could read or hold

What callers saw: one job with a negative need of processors, or one above 1,024 cores, handed in at the leader ended all keepers, and each again when it started. One with a number beyond 64 bits ended the process that it was sent to. One that asks for a thousand billion tasks, or is due each millisecond since 1970, ends the keepers by their memory. Cause: bounds on numbers hold when a message is decoded, and what a process hands to its own keeper isn't; it was committed, and the log could then not be read. Handed in elsewhere, the leader logged it and gave no answer, so that the sender dropped the connection to the leader every 0.8 s. Why it works: each request that goes into the log is read back as another process would before it is sent; jobs are bounded to 20,000 tasks at a time; a request that can't be decoded is answered. Found while looking for one message that takes a process down.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -13,6 +13,7 @@
       | a timeout of 0         | refused  |
       | a missing version      | refused  |
       | a version that is text | refused  |
+      | a version of 70 bits   | refused  |
       | fields not known yet   | accepted |
 
   Scenario Outline: A heartbeat with <fault> is <verdict>
@@ -27,6 +28,8 @@
       | no born             | refused  |
       | a born that is text | refused  |
       | an unknown ending   | refused  |
+      | a born of 70 bits   | refused  |
+      | a usage of 70 bits  | refused  |
 
   Scenario Outline: A job with <fault> is <verdict>
     When a job with <fault> is decoded
@@ -38,6 +41,7 @@
       | no steps                   | refused  |
       | a step after itself        | refused  |
       | a step of no tasks         | refused  |
+      | a need of 70 bits          | refused  |
 
   Scenario: Orders leave out what is empty and keep what is not
     When orders with a start, a stop and a pace are encoded
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -86,6 +86,8 @@
             del given_configuration["version"]
         case "a version that is text":
             given_configuration["version"] = "7"
+        case "a version of 70 bits":
+            given_configuration["version"] = 2**70
         case "fields not known yet":
             route["colour"] = {"hue": 3}
     body = json.dumps(given_configuration).encode()
@@ -115,6 +117,10 @@
             del heartbeat["born"]
         case "a born that is text":
             heartbeat["born"] = "1700000000000"
+        case "a born of 70 bits":
+            heartbeat["born"] = 2**70
+        case "a usage of 70 bits":
+            heartbeat["running"][0][4] = float(2**70)
         case "an unknown ending":
             heartbeat["ended"][0][3] = "vanished"
     body = json.dumps(heartbeat).encode()
@@ -136,6 +142,8 @@
             steps[1]["after"] = [1]
         case "a step of no tasks":
             steps[0]["count"] = 0
+        case "a need of 70 bits":
+            steps[0]["cpu"] = 2**70
     body = json.dumps({"spec": "text", "steps": steps}).encode()
     _try(context, job_format.decode_job, body)
 
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -38,6 +38,7 @@
 from fulmarrouter.cluster import link_clock
 from fulmarrouter.cluster import membership
 from fulmarrouter.cluster import notes
+from fulmarrouter.cluster import request_checks
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import settings_file
 from fulmarrouter.cluster import state as state_lib
@@ -233,6 +234,10 @@
                 )
             )
             return
+        problem = request_checks.problem(request)
+        if problem:
+            on_reply(requests.Refused(codes.Code.BAD_REQUEST, problem))
+            return
         self.gateway.ask(time.monotonic(), request, timeout_s, on_reply)
 
     def send_request(
@@ -468,12 +473,15 @@
     def _on_call(
         self, now: float, connection: ids.ConnectionId, call: wire.Call
     ) -> None:
+        client = controller_lib.Client(connection, call.id)
         try:
             request = requests.decode_request(call.payload)
         except msgspec.DecodeError as error:
+            # Without an answer the sender would take this process for dead.
             self.log.warning("bad request", error=str(error))
+            refused = requests.Refused(codes.Code.BAD_REQUEST, str(error))
+            self._answer(controller_lib.Answered(client, refused))
             return
-        client = controller_lib.Client(connection, call.id)
         in_office = self.controller is not None and self.controller.in_office
         if isinstance(request, requests.Locate) or (
             isinstance(request, requests.Join) and not in_office
--- a/fulmarrouter/cluster/queues.py
+++ b/fulmarrouter/cluster/queues.py
@@ -6,6 +6,7 @@
 from fulmarrouter import codes
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
+from fulmarrouter.cluster import request_checks
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
@@ -74,14 +75,27 @@
 def due_occurrences(
     state: state_lib.State, wall_ms: int
 ) -> list[log_commands.AnyCommand]:
-    """Returns commands that begin the occurrences whose time has come."""
+    """Returns commands that begin the occurrences whose time has come.
+
+    Those of a job that would have too many tasks at a time begin later.
+    """
     found: list[log_commands.AnyCommand] = []
     for job in state.timed_job_by_id.values():
         begun = len(job.steps_by_occurrence)
-        while begun < job.spec.repetitions:
-            due = job.spec.first_due_ms + begun * job.spec.interval_ms
-            if wall_ms < due:
-                break
+        if begun >= job.spec.repetitions or wall_ms < _due_ms(job, begun):
+            continue
+        tasks = sum(step.count for step in job.spec.steps)
+        room = request_checks.MAX_TASKS - job.unfinished_tasks
+        while (
+            begun < job.spec.repetitions
+            and wall_ms >= _due_ms(job, begun)
+            and room >= tasks
+        ):
             found.append(log_commands.OpenOccurrence(job.id, begun))
             begun += 1
+            room -= tasks
     return found
+
+
+def _due_ms(job: state_lib.Job, occurrence: int) -> int:
+    return job.spec.first_due_ms + occurrence * job.spec.interval_ms
--- /dev/null
+++ b/fulmarrouter/cluster/request_checks.py
@@ -0,0 +1,47 @@
+"""Checks requests of callers, operators and workers before they are taken in.
+
+Pure. What it answers: a job or a configuration in the log is read by every
+keeper and its successors, so one that can't be read or held would end them all.
+"""
+
+import msgspec
+
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import requests
+
+# Tasks that a job may have at a time, over all its steps and occurrences.
+MAX_TASKS = 20_000
+
+
+def problem(request: requests.AnyRequest) -> str:
+    """Returns why a request can't be taken in, or an empty string."""
+    match request:
+        case requests.SubmitJob():
+            return _unreadable(request) or _job_problem(request.spec)
+        case requests.ReplaceConfiguration():
+            return _unreadable(request)
+        case requests.WorkerReport():
+            if not request.capacity.is_in_bounds:
+                return f"capacity out of bounds: {request.capacity}"
+    return ""
+
+
+def _unreadable(request: requests.AnyRequest) -> str:
+    """Returns why another process could not read a request."""
+    try:
+        requests.decode_request(requests.encode(request))
+    except (OverflowError, UnicodeError, msgspec.DecodeError) as error:
+        return str(error)
+    return ""
+
+
+def _job_problem(spec: model.JobSpec) -> str:
+    if any(step.count < 1 or step.estimated_ms < 0 for step in spec.steps):
+        return "a step without tasks or with a negative estimate"
+    if sum(step.count for step in spec.steps) > MAX_TASKS:
+        return f"more than {MAX_TASKS} tasks"
+    if spec.repetitions < 0:
+        return "a negative number of repetitions"
+    if spec.repetitions > 1 and spec.interval_ms < 1:
+        return "no time between repetitions"
+    return ""
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -88,6 +88,15 @@
         """Whether there may still be work to do."""
         return self.phase is model.JobPhase.ACTIVE
 
+    @property
+    def unfinished_tasks(self) -> int:
+        """Tasks of the occurrences that have begun, and are not done."""
+        return sum(
+            len(step.tasks) - step.done
+            for steps in self.steps_by_occurrence.values()
+            for step in steps
+        )
+
 
 class _Snapshot(msgspec.Struct, array_like=True):
     configuration: model.Configuration | None
