Keep a leader alive when a request of another process fails

An unexpected error in a request that another process passed on ended the leader, and the sender then asked the next one the same. It is logged and answered as unknown now, as it is for callers of the leader itself. Such answers, too, stop a process from being asked again for 0.15 s.

--- a/features/leader_link.feature
+++ b/features/leader_link.feature
@@ -39,10 +39,11 @@
 
   Scenario Outline: <requests> requests at a keeper whose leader gives up office for <seconds> s
     Given a keeper that still takes a deposed leader for the leader
-    When <requests> requests wait there for <seconds> s and the deposed leader refuses each
+    When <requests> requests wait there for <seconds> s and the deposed leader answers each with <code>
     Then each was sent to it at most once in <interval> s
 
     Examples:
-      | requests | seconds | interval |
-      | 1        | 1.2     | 0.15     |
-      | 40       | 1.2     | 0.15     |
+      | requests | seconds | interval | code             |
+      | 1        | 1.2     | 0.15     | NOT_LEADER       |
+      | 40       | 1.2     | 0.15     | NOT_LEADER       |
+      | 40       | 1.2     | 0.15     | PROPOSAL_UNKNOWN |
--- a/features/steps/leader_link_steps.py
+++ b/features/steps/leader_link_steps.py
@@ -237,15 +237,15 @@
 
 @when(
     "{count:d} requests wait there for {seconds:f} s and the deposed leader"
-    " refuses each"
+    " answers each with {code}"
 )
-def step_refused(context: Any, count: int, seconds: float) -> None:
+def step_refused(context: Any, count: int, seconds: float, code: str) -> None:
     link, gateway = context.link, context.gateway
     context.seconds = seconds
     for number in range(count):
         request = requests.ShowTarget("host", f"/q/{number}")
         gateway.ask(0.0, request, CALLER_TIMEOUT_S, lambda reply: None)
-    refused = requests.Refused(codes.Code.NOT_LEADER)
+    refused = requests.Refused(codes.Code[code])
     now = 0.0
     while now < seconds:
         now += TURN_S
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -8,7 +8,10 @@
 
 from features.steps import leader_link_steps
 from features.steps import platform_steps
+from fulmarrouter import codes
 from fulmarrouter import commands
+from fulmarrouter import ids
+from fulmarrouter import wire
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import queues
@@ -127,6 +130,29 @@
     assert 0 < begun <= limit, begun
 
 
+@when("another process asks it for something that it fails on")
+def step_failing_request(context: Any) -> None:
+    node = context.node
+    context.replies = []
+
+    def fail(*arguments: Any) -> None:
+        raise KeyError(arguments)
+
+    node.controller.on_request = fail
+    node._answer = lambda answered: context.replies.append(answered.reply)
+    request = requests.ShowTarget("host", "/q/1")
+    call = wire.Call(ids.CallId(1), requests.encode(request))
+    node._on_call(0.0, ids.ConnectionId(1), call)
+    node.stop()
+    node.run()
+
+
+@then("the other process is told {code}")
+def step_told(context: Any, code: str) -> None:
+    (reply,) = context.replies
+    assert reply == requests.Refused(codes.Code[code]), reply
+
+
 @when("jobs beyond all bounds are handed to every process")
 def step_beyond(context: Any) -> None:
     step = {"count": 1, "cpu": 500, "mem_mb": 10}
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -34,3 +34,8 @@
     And every process is still there
     When a caller submits a job to the process without a disk
     Then its tasks are all done within 15 seconds
+
+  Scenario: A leader goes on after a request of another process that it fails on
+    Given a process with a disk that knows no leader
+    When another process asks it for something that it fails on
+    Then the other process is told PROPOSAL_UNKNOWN
--- a/fulmarrouter/cluster/gateway.py
+++ b/fulmarrouter/cluster/gateway.py
@@ -146,7 +146,7 @@
             ):
                 # The deposed leader may have passed it on; ask its successor.
                 self._carrier.count_retry(RetryReason.LEADER_DEPOSED)
-                self._forget_leader(pending.sent_to)
+                self._give_up_for_now(now, pending.sent_to)
                 pending.sent_to = ""
                 return
         del self._pending[call]
@@ -250,14 +250,17 @@
         asked = pending.sent_to
         pending.sent_to = ""
         pending.uncertain_tries = max(0, pending.uncertain_tries - 1)
-        self._forget_leader(asked)
-        if asked:
-            self._refused_until_by_address[asked] = now + REFUSED_PAUSE_S
+        self._give_up_for_now(now, asked)
         if reply.leader != asked:
             self.learn_leader(now, reply.leader)
         if not pending.sent_to and self.leader:
             self._try_send(now, call, pending)
 
+    def _give_up_for_now(self, now: float, address: str) -> None:
+        self._forget_leader(address)
+        if address:
+            self._refused_until_by_address[address] = now + REFUSED_PAUSE_S
+
     def _forget_leader(self, address: str) -> None:
         if address and address == self.leader:
             self.leader = ""
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -489,12 +489,20 @@
             reply = self._locate(now, request)
             self._answer(controller_lib.Answered(client, reply))
             return
-        if self.controller is not None:
-            self.controller.on_request(now, times.wall_ms(), client, request)
-            return
         refused = requests.Refused(
             codes.Code.NOT_LEADER, leader=self.gateway.leader
         )
+        if self.controller is not None:
+            try:
+                self.controller.on_request(
+                    now, times.wall_ms(), client, request
+                )
+                return
+            except Exception as error:
+                # One request's failure must not end the process, nor the next
+                # leader, which would be asked the same.
+                self.log.error("request failed", error=repr(error))
+                refused = requests.Refused(codes.Code.PROPOSAL_UNKNOWN)
         self._answer(controller_lib.Answered(client, refused))
 
     def _locate(
