--- a/features/steps/reporting_steps.py
+++ b/features/steps/reporting_steps.py
@@ -100,7 +100,7 @@
 # A leading controller.
 
 
-class _Leader:
+class Leader:
     """A controller that is its quorum's only voter, on a perfect disk."""
 
     def __init__(self) -> None:
@@ -195,7 +195,7 @@
     " wait"
 )
 def step_ending(context: Any, waiting: int) -> None:
-    context.leader = leader = _Leader()
+    context.leader = leader = Leader()
     leader.report()
     assert leader.answer(10)[0]
     leader.submit("0a", 7_000)
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -1,6 +1,8 @@
 """Steps of submissions.feature: jobs that ask for too much."""
 
+import contextlib
 from typing import Any
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -8,6 +10,7 @@
 
 from features.steps import leader_link_steps
 from features.steps import platform_steps
+from features.support import leader_fuzz
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import ids
@@ -15,6 +18,7 @@
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import queues
+from fulmarrouter.cluster import request_checks
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
@@ -153,6 +157,33 @@
     assert reply == requests.Refused(codes.Code[code]), reply
 
 
+@when(
+    "a leader is sent random jobs and reports with seeds {first:d} to {last:d},"
+    " {checks}"
+)
+def step_fuzz(context: Any, first: int, last: int, checks: str) -> None:
+    context.failing_seeds = []
+    context.taken = 0
+    check = mock.patch.object(request_checks, "problem", lambda request: "")
+    with check if checks == "left unchecked" else contextlib.nullcontext():
+        for seed in range(first, last + 1):
+            try:
+                context.taken += leader_fuzz.play(seed)
+            except Exception as error:
+                context.failing_seeds.append(f"seed {seed}: {error!r}")
+
+
+@then("it fails on none of them")
+def step_fails_on_none(context: Any) -> None:
+    assert not context.failing_seeds, context.failing_seeds
+    assert context.taken
+
+
+@then("it fails on at least one")
+def step_fails_on_one(context: Any) -> None:
+    assert context.failing_seeds
+
+
 @when("jobs beyond all bounds are handed to every process")
 def step_beyond(context: Any) -> None:
     step = {"count": 1, "cpu": 500, "mem_mb": 10}
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -39,3 +39,12 @@
     Given a process with a disk that knows no leader
     When another process asks it for something that it fails on
     Then the other process is told PROPOSAL_UNKNOWN
+
+  Scenario Outline: A leader is sent random jobs and reports, <checks>
+    When a leader is sent random jobs and reports with seeds <first> to <last>, <checks>
+    Then <outcome>
+
+    Examples:
+      | checks         | first | last | outcome                        |
+      | checked        | 0     | 29   | it fails on none of them       |
+      | left unchecked | 0     | 29   | it fails on at least one       |
--- /dev/null
+++ b/features/support/leader_fuzz.py
@@ -0,0 +1,186 @@
+"""Random jobs and reports, as far as they are accepted, at a leading keeper."""
+
+import json
+import random
+from typing import Any
+
+from fleet_adapter import job_format
+from fleet_adapter import worker_format
+
+from features.steps import filling_steps
+from features.steps import reporting_steps
+from fulmarrouter import errors
+from fulmarrouter.cluster import log_commands
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import request_checks
+from fulmarrouter.cluster import requests
+
+CALLS = 60
+TURNS_AFTER_CALL = 6
+NUMBERS = (0, 1, 2, 5, 7, 100, 1000, 10**6, 2**31, 2**62, -1, -5, -(2**62))
+COUNTS = (1, 2, 3, 20)
+TEXTS = (
+    "",
+    "s1",
+    "r1",
+    "..",
+    "a.b.c.d",
+    "x" * 50,
+    "é☃",
+    "0a",
+    "0a.0.0.0",
+    "0a.0.1.0",
+    "0a.0.0.99",
+    "0a.-1.0.0",
+    "0a.0.-1.0",
+    "0a.0.0.-1",
+)
+STEP_NUMBERS = (
+    "cpu",
+    "mem_mb",
+    "gpu",
+    "estimated_ms",
+    "anti_affinity",
+    "target_ms",
+    "may_miss",
+)
+STEP_FLAGS = (
+    "checkpointing",
+    "gang",
+    "colocate",
+    "allow_duplicates",
+    "long_running",
+    "fills",
+)
+STEP_TEXTS = ("requirements", "affinity", "image")
+REPETITION_FIELDS = ("repetitions", "initial_delay_ms", "interval_ms")
+READINGS = (0, -1, 900, 1e9, 0.5, -3.2)
+CHANCE_OF_FIELD = 0.25
+
+
+class _Writer:
+    """Writes what a caller or a worker might send."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def job(self) -> bytes:
+        """Returns the body of a submission."""
+        steps = [self._step() for _ in range(self._rng.choice((1, 1, 2, 3)))]
+        for number, step in enumerate(steps):
+            if number and self._rng.random() < 0.5:
+                step["after"] = [self._rng.randrange(number)]
+        body: dict[str, Any] = {"spec": self._text(), "steps": steps}
+        if self._rng.random() < CHANCE_OF_FIELD:
+            body |= {field: self._number() for field in REPETITION_FIELDS}
+        return json.dumps(body).encode()
+
+    def heartbeat(self, sequence: int) -> bytes:
+        """Returns the body of a heartbeat."""
+        rng = self._rng
+        capacity = {
+            "cpu": rng.choice((0, 8_000, 64_000, self._number())),
+            "mem_mb": rng.choice((1000, self._number())),
+        }
+        body = {
+            "service": rng.choice((filling_steps.SERVICE, "x")),
+            "address": self._text(),
+            "zone": self._text(),
+            "state": rng.choice(worker_format.STATES),
+            "sequence": rng.choice((sequence, sequence, self._number())),
+            "born": rng.choice((1, 2, self._number())),
+            "capacity": capacity,
+            "labels": [self._text() for _ in range(rng.randrange(3))],
+            "machine": self._text(),
+            "drain_remaining_ms": self._number(),
+            "running": [self._run() for _ in range(rng.choice((0, 1, 3)))],
+            "ended": [self._end() for _ in range(rng.choice((0, 0, 1, 3)))],
+        }
+        return json.dumps(body).encode()
+
+    def _number(self) -> int:
+        return self._rng.choice(NUMBERS)
+
+    def _text(self) -> str:
+        return self._rng.choice(TEXTS)
+
+    def _step(self) -> dict[str, Any]:
+        step: dict[str, Any] = {"count": self._rng.choice(COUNTS)}
+        draw_by_fields = (
+            (STEP_NUMBERS, self._number),
+            (STEP_FLAGS, lambda: True),
+            (STEP_TEXTS, self._text),
+        )
+        for fields, draw in draw_by_fields:
+            for field in fields:
+                if self._rng.random() < CHANCE_OF_FIELD:
+                    step[field] = draw()
+        return step
+
+    def _run(self) -> list[Any]:
+        return [
+            self._text(),
+            self._number(),
+            self._text(),
+            self._number(),
+            self._rng.choice(READINGS),
+        ]
+
+    def _end(self) -> list[Any]:
+        how = self._rng.choice(tuple(worker_format.OUTCOME_BY_WORD))
+        return [
+            self._number(),
+            self._text(),
+            self._number(),
+            how,
+            self._text(),
+        ]
+
+
+def play(seed: int) -> int:
+    """Sends random calls to a leader; returns how many it took in.
+
+    Raises:
+        Exception: Whatever would have ended the leader's process.
+    """
+    rng = random.Random(seed)
+    writer = _Writer(rng)
+    leader = reporting_steps.Leader()
+    taken = 0
+    for number in range(CALLS):
+        try:
+            request: requests.AnyRequest
+            if rng.random() < 0.3:
+                spec = job_format.decode_job(writer.job())
+                path = f"/q/{rng.randrange(40):02x}"
+                request = requests.SubmitJob("host", path, spec)
+            else:
+                worker = f"w{rng.randrange(4)}"
+                body = writer.heartbeat(number)
+                request = worker_format.decode_heartbeat(worker, body)
+        except errors.RequestError:
+            continue
+        if request_checks.problem(request):
+            continue
+        taken += 1
+        _hand_over(leader, request)
+        for _ in range(TURNS_AFTER_CALL):
+            leader.turn()
+    # What a successor does first, and what a snapshot holds.
+    leader.controller.dispatcher.take_office(
+        leader.now, leader.controller.state, 0
+    )
+    leader.controller.state.encode()
+    return taken
+
+
+def _hand_over(
+    leader: reporting_steps.Leader, request: requests.AnyRequest
+) -> None:
+    controller = leader.controller
+    if not isinstance(request, requests.SubmitJob):
+        controller.on_request(leader.now, 0, reporting_steps.CLIENT, request)
+        return
+    job = model.JobId(request.path.rpartition("/")[2])
+    command = log_commands.SubmitJob(job, filling_steps.QUEUE, request.spec, 0)
+    controller.replica.propose(log_commands.encode(command))
