--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -14,7 +14,9 @@
 from behave import when
 
 from bench import load_player
+from features.support import carriers
 from features.support import cluster_histories
+from features.support import cluster_plays
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import consensus
@@ -43,7 +45,7 @@
     broken = []
     for seed in range(first, last + 1):
         try:
-            cluster_histories.play(seed)
+            cluster_plays.play(seed)
         except cluster_histories.ViolationError as error:
             broken.append(f"seed {seed}: {error}")
     return broken
@@ -59,7 +61,7 @@
     context.broken = []
     for seed in range(count):
         try:
-            cluster_histories.play_isolated_leader(seed)
+            cluster_plays.play_isolated_leader(seed)
         except cluster_histories.ViolationError as error:
             context.broken.append(f"seed {seed}: {error}")
 
@@ -69,7 +71,7 @@
     context.broken = []
     for seed in range(first, last + 1):
         try:
-            cluster_histories.play_power_loss(seed)
+            cluster_plays.play_power_loss(seed)
         except cluster_histories.ViolationError as error:
             context.broken.append(f"seed {seed}: {error}")
 
@@ -145,9 +147,9 @@
     with mock.patch.object(target, name, replacement):
         for seed in range(MUTATION_SEEDS):
             with contextlib.suppress(AssertionError):
-                cluster_histories.play(seed)
+                cluster_plays.play(seed)
                 if seed < ISOLATED_SEEDS:
-                    cluster_histories.play_isolated_leader(seed)
+                    cluster_plays.play_isolated_leader(seed)
                 continue
             context.broken.append(seed)
             return
@@ -216,32 +218,9 @@
 OWN = "10.0.0.9:7000"
 
 
-class _Carrier:
-    """Records what a gateway sends."""
-
-    def __init__(self) -> None:
-        self.sent: list[tuple[str, ids.CallId, requests.AnyRequest]] = []
-        self.retries: list[gateway_lib.RetryReason] = []
-
-    def send_request(
-        self, address: str, call: ids.CallId, request: requests.AnyRequest
-    ) -> bool:
-        self.sent.append((address, call, request))
-        return True
-
-    def seconds_to_send(self) -> float:
-        return 0.0
-
-    def drop_peer(self, address: str, reason: str) -> None:
-        del address, reason
-
-    def count_retry(self, reason: gateway_lib.RetryReason) -> None:
-        self.retries.append(reason)
-
-
 @given("a gateway that {leader}")
 def step_gateway(context: Any, leader: str) -> None:
-    context.carrier = _Carrier()
+    context.carrier = carriers.Recorder()
     context.gateway = gateway_lib.Gateway(context.carrier, OWN, (LEADER,))
     if leader == "knows a leader":
         context.gateway.learn_leader(0.0, LEADER)
--- a/features/steps/leader_link_steps.py
+++ b/features/steps/leader_link_steps.py
@@ -1,5 +1,6 @@
 """Steps of leader_link.feature: a gateway over links that take their time."""
 
+import collections
 import dataclasses
 from typing import Any
 
@@ -7,6 +8,7 @@
 from behave import then
 from behave import when
 
+from features.support import carriers
 from fulmarrouter import addresses
 from fulmarrouter import codes
 from fulmarrouter import ids
@@ -97,14 +99,14 @@
     arrives_at: float
 
 
-class _SlowLink:
+class _SlowLink(carriers.Recorder):
     """Carries requests to a leader, one after the other, at a given rate."""
 
     def __init__(self, bytes_per_s: float) -> None:
+        super().__init__()
         self.now = 0.0
         self.bytes_per_s = bytes_per_s
         self.leader_is_silent = False
-        self.sent: list[requests.AnyRequest] = []
         self.drops = 0
         self._free_at = 0.0
         self._in_flight: list[_InFlight] = []
@@ -114,7 +116,7 @@
     ) -> bool:
         if address != LEADER:
             return True
-        self.sent.append(request)
+        super().send_request(address, call, request)
         size = len(requests.encode(request))
         self._free_at = max(self._free_at, self.now) + size / self.bytes_per_s
         arrives_at = self._free_at + LEADER_WORK_S
@@ -130,9 +132,6 @@
         self._in_flight = []
         self._free_at = self.now
 
-    def count_retry(self, reason: gateway_lib.RetryReason) -> None:
-        del reason
-
     def answered(self) -> list[ids.CallId]:
         """Returns the calls whose replies have arrived since."""
         if self.leader_is_silent:
@@ -184,7 +183,8 @@
 @then("the job was sent once")
 @then("each job was sent once")
 def step_once(context: Any) -> None:
-    assert context.link.sent == context.submitted, len(context.link.sent)
+    sent = [request for _, _, request in context.link.sent]
+    assert sent == context.submitted, len(sent)
 
 
 @when("the leader falls silent and a caller submits a job of {size:d} KB there")
@@ -202,35 +202,9 @@
 # A leader that no longer leads.
 
 
-class _RefusedSends:
-    """Carries requests to a process that refuses each after a moment."""
-
-    def __init__(self) -> None:
-        self.calls: list[ids.CallId] = []
-        self.sent_by_request: dict[requests.AnyRequest, int] = {}
-
-    def send_request(
-        self, address: str, call: ids.CallId, request: requests.AnyRequest
-    ) -> bool:
-        if address == LEADER:
-            self.calls.append(call)
-            known = self.sent_by_request.get(request, 0)
-            self.sent_by_request[request] = known + 1
-        return True
-
-    def seconds_to_send(self) -> float:
-        return 0.0
-
-    def drop_peer(self, address: str, reason: str) -> None:
-        del address, reason
-
-    def count_retry(self, reason: gateway_lib.RetryReason) -> None:
-        del reason
-
-
 @given("a keeper that still takes a deposed leader for the leader")
 def step_deposed(context: Any) -> None:
-    context.link = _RefusedSends()
+    context.link = carriers.Recorder()
     context.gateway = gateway_lib.Gateway(context.link, OWN, ())
     context.gateway.learn_leader(0.0, LEADER)
 
@@ -242,6 +216,7 @@
 def step_refused(context: Any, count: int, seconds: float, code: str) -> None:
     link, gateway = context.link, context.gateway
     context.seconds = seconds
+    context.sent_by_request = collections.Counter()
     for number in range(count):
         request = requests.ShowTarget("host", f"/q/{number}")
         gateway.ask(0.0, request, CALLER_TIMEOUT_S, lambda reply: None)
@@ -249,9 +224,11 @@
     now = 0.0
     while now < seconds:
         now += TURN_S
-        calls, link.calls = link.calls, []
-        for call in calls:
-            gateway.on_reply(now, call, refused)
+        sent, link.sent = link.sent, []
+        for address, call, request in sent:
+            if address == LEADER:
+                context.sent_by_request[request] += 1
+                gateway.on_reply(now, call, refused)
         gateway.tick(now)
         # What a keeper does each turn until it hears of a new leader.
         gateway.learn_leader(now, LEADER)
@@ -259,6 +236,6 @@
 
 @then("each was sent to it at most once in {interval:f} s")
 def step_paced(context: Any, interval: float) -> None:
-    most = max(context.link.sent_by_request.values())
+    most = max(context.sent_by_request.values())
     allowed = 1 + int(context.seconds / interval)
     assert most <= allowed, f"{most} times, allowed {allowed}"
--- /dev/null
+++ b/features/support/carriers.py
@@ -0,0 +1,28 @@
+"""Stand-ins for what carries a gateway's requests."""
+
+from fulmarrouter import ids
+from fulmarrouter.cluster import gateway
+from fulmarrouter.cluster import requests
+
+
+class Recorder:
+    """Records what a gateway sends; nothing is answered."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, ids.CallId, requests.AnyRequest]] = []
+        self.retries: list[gateway.RetryReason] = []
+
+    def send_request(
+        self, address: str, call: ids.CallId, request: requests.AnyRequest
+    ) -> bool:
+        self.sent.append((address, call, request))
+        return True
+
+    def seconds_to_send(self) -> float:
+        return 0.0
+
+    def drop_peer(self, address: str, reason: str) -> None:
+        del address, reason
+
+    def count_retry(self, reason: gateway.RetryReason) -> None:
+        self.retries.append(reason)
--- /dev/null
+++ b/fulmarrouter/cluster/controller_setup.py
@@ -0,0 +1,54 @@
+"""Builds a keeper's controller from the settings of its process."""
+
+import random
+
+from fulmarrouter import addresses
+from fulmarrouter import consensus
+from fulmarrouter import settings as settings_lib
+from fulmarrouter.cluster import controller
+from fulmarrouter.cluster import dispatcher
+
+# Worker leases outlast an election and a short cut; longer ones would delay
+# the work of a crashed worker more.
+WORKER_LEASE_S = 6.0
+
+
+def build(
+    now: float,
+    keeper: str,
+    saved: consensus.Saved,
+    settings: settings_lib.NodeSettings,
+) -> controller.Controller:
+    """Returns the controller of a keeper that starts.
+
+    Args:
+        now: Monotonic time.
+        keeper: The keeper's identity.
+        saved: What it found on its disk.
+        settings: Checked settings of the process.
+    """
+    election = settings.election
+    replica = consensus.Replica(
+        keeper,
+        saved,
+        consensus.Timing(
+            election.heartbeat_ms / 1000,
+            election.timeout_min_ms / 1000,
+            election.timeout_max_ms / 1000,
+        ),
+        random.Random(),
+        now,
+    )
+    return controller.Controller(
+        replica,
+        controller.ControllerSettings(
+            wanted_voters=settings.tolerated_losses.voters(),
+            control_port=addresses.port_of(settings.control),
+            direct_workers=settings.direct_workers,
+        ),
+        dispatcher.DispatchSettings(
+            lease_s=min(WORKER_LEASE_S, settings.max_worker_lease_ms / 1000),
+            restore_s=settings.checkpoint_restore_ms / 1000,
+            reports_per_s=settings.reports_per_s,
+        ),
+    )
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 import dataclasses
 import pathlib
-import random
 import selectors
 import time
 
@@ -30,8 +29,8 @@
 from fulmarrouter import waking
 from fulmarrouter import wire
 from fulmarrouter.cluster import controller as controller_lib
+from fulmarrouter.cluster import controller_setup
 from fulmarrouter.cluster import disk_writer
-from fulmarrouter.cluster import dispatcher
 from fulmarrouter.cluster import draining
 from fulmarrouter.cluster import gateway as gateway_lib
 from fulmarrouter.cluster import identity
@@ -54,9 +53,6 @@
 SEEKING_ANNOUNCE_S = 0.25
 # Silence of the leader after which a keeper announces itself everywhere.
 LEADER_SILENCE_S = 1.0
-# Worker leases outlast an election and a short cut; longer ones would delay
-# the work of a crashed worker more.
-WORKER_LEASE_S = 6.0
 LOCAL = ids.ConnectionId(0)
 FOUNDING_TERM = 1
 
@@ -171,32 +167,8 @@
         self._disk = disk_writer.DiskWriter(self._storage, self._waker.wake)
 
     def _start_controller(self, saved: consensus.Saved) -> None:
-        election = self.settings.election
-        replica = consensus.Replica(
-            self._sender,
-            saved,
-            consensus.Timing(
-                election.heartbeat_ms / 1000,
-                election.timeout_min_ms / 1000,
-                election.timeout_max_ms / 1000,
-            ),
-            random.Random(),
-            time.monotonic(),
-        )
-        self.controller = controller_lib.Controller(
-            replica,
-            controller_lib.ControllerSettings(
-                wanted_voters=self.settings.tolerated_losses.voters(),
-                control_port=addresses.port_of(self.settings.control),
-                direct_workers=self.settings.direct_workers,
-            ),
-            dispatcher.DispatchSettings(
-                lease_s=min(
-                    WORKER_LEASE_S, self.settings.max_worker_lease_ms / 1000
-                ),
-                restore_s=self.settings.checkpoint_restore_ms / 1000,
-                reports_per_s=self.settings.reports_per_s,
-            ),
+        self.controller = controller_setup.build(
+            time.monotonic(), self._sender, saved, self.settings
         )
 
     def _found(self) -> None:
