--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -1,5 +1,7 @@
 """Steps of cluster.feature."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
 import dataclasses
 import os
@@ -41,11 +43,13 @@
 # Histories.
 
 
-def _broken(first: int, last: int) -> list[str]:
+def _broken(
+    play: Callable[[int], cluster_histories.History], seeds: Iterable[int]
+) -> list[str]:
     broken = []
-    for seed in range(first, last + 1):
+    for seed in seeds:
         try:
-            cluster_plays.play(seed)
+            play(seed)
         except cluster_histories.ViolationError as error:
             broken.append(f"seed {seed}: {error}")
     return broken
@@ -53,27 +57,18 @@
 
 @when("cluster histories {first:d} to {last:d} are played")
 def step_play(context: Any, first: int, last: int) -> None:
-    context.broken = _broken(first, last)
+    context.broken = _broken(cluster_plays.play, range(first, last + 1))
 
 
 @when("{count:d} cluster histories with an isolated leader are played")
 def step_play_isolated(context: Any, count: int) -> None:
-    context.broken = []
-    for seed in range(count):
-        try:
-            cluster_plays.play_isolated_leader(seed)
-        except cluster_histories.ViolationError as error:
-            context.broken.append(f"seed {seed}: {error}")
+    context.broken = _broken(cluster_plays.play_isolated_leader, range(count))
 
 
 @when("cluster histories {first:d} to {last:d} with a loss of power are played")
 def step_play_power(context: Any, first: int, last: int) -> None:
-    context.broken = []
-    for seed in range(first, last + 1):
-        try:
-            cluster_plays.play_power_loss(seed)
-        except cluster_histories.ViolationError as error:
-            context.broken.append(f"seed {seed}: {error}")
+    seeds = range(first, last + 1)
+    context.broken = _broken(cluster_plays.play_power_loss, seeds)
 
 
 @then("no history breaks a promise")
