Check amounts by the bounds of their type

The bounds of Resources were written a second time to check what a process puts together itself; msgspec now checks it by the declared ones. No change of behaviour: capacity of -1 and of 2**62 is refused as before.

--- a/fulmarrouter/cluster/request_checks.py
+++ b/fulmarrouter/cluster/request_checks.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fulmarrouter import commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
 
@@ -21,8 +22,19 @@
         case requests.ReplaceConfiguration():
             return _unreadable(request)
         case requests.WorkerReport():
-            if not request.capacity.is_in_bounds:
-                return f"capacity out of bounds: {request.capacity}"
+            return _out_of_bounds(request.capacity)
+    return ""
+
+
+def _out_of_bounds(amount: commands.Resources) -> str:
+    """Returns which bound of its type an amount breaks.
+
+    Bounds hold for what is decoded, not for what a process puts together.
+    """
+    try:
+        msgspec.convert(msgspec.structs.asdict(amount), commands.Resources)
+    except msgspec.ValidationError as error:
+        return str(error)
     return ""
 
 
--- a/fulmarrouter/commands.py
+++ b/fulmarrouter/commands.py
@@ -28,18 +28,6 @@
     memory_mb: Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)] = 0
     accelerators: Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)] = 0
 
-    @property
-    def is_in_bounds(self) -> bool:
-        """Whether another process would read it.
-
-        The bounds above hold for what is decoded, not for what is computed.
-        """
-        return (
-            0 <= self.millicores <= MAX_MILLICORES
-            and 0 <= self.memory_mb <= MAX_MEMORY_MB
-            and 0 <= self.accelerators <= MAX_ACCELERATORS
-        )
-
     def plus(self, other: "Resources") -> "Resources":
         """Returns the sum of two amounts."""
         return Resources(
