Keep the runs of a worker's present incarnation when an earlier one leaves

Cause: on_left dropped the view of a worker whatever incarnation had left, and the next expiry ended the runs of a worker without a view as lost, so they could be started elsewhere while they ran. Now only the incarnation that left, or one before it, is dropped. The scenario for incarnation 1 fails without the change.

--- /dev/null
+++ b/features/steps/leaving_workers_steps.py
@@ -0,0 +1,43 @@
+"""Steps on workers that leave."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps import filling_steps
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import requests
+
+WORKER = "w"
+MILLICORES = 8000
+TASK = model.format_task_id(model.JobId("job"), 0, 0, 0)
+
+
+@given("a worker that has restarted as incarnation 2 and runs a task")
+def step_restarted_worker(context: Any) -> None:
+    context.harness = filling_steps.DispatcherHarness()
+    harness = context.harness
+    harness.report(0.0, WORKER, MILLICORES, incarnation=1)
+    harness.report(1.0, WORKER, MILLICORES, incarnation=2)
+    harness.submit("job", filling_steps.ordinary_step(1000))
+    assert harness.plan(1.1)
+    running = (requests.ActiveRun(TASK, 1, "", 10, 1000),)
+    harness.report(1.2, WORKER, MILLICORES, running, incarnation=2)
+
+
+@when("incarnation {left:d} is said to have left, and 0.2 s pass")
+def step_left(context: Any, left: int) -> None:
+    harness = context.harness
+    request = requests.WorkerLeft(model.WorkerId(WORKER), left)
+    for command in harness.dispatcher.on_left(harness.state, request):
+        harness.commit(command)
+    for command in harness.dispatcher.expire(1.4, harness.state):
+        harness.commit(command)
+
+
+@then("the phase of the task is {phase}")
+def step_phase(context: Any, phase: str) -> None:
+    found = context.harness.state.find_task(TASK)
+    assert found[3].phase.name == phase, found[3]
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -343,7 +343,10 @@
     def on_left(
         self, state: state_lib.State, request: requests.WorkerLeft
     ) -> list[log_commands.AnyCommand]:
-        """Ends the runs of a worker that has left."""
+        """Ends the runs of a worker that has left.
+
+        A request that arrives late does not affect a later incarnation.
+        """
         commands: list[log_commands.AnyCommand] = []
         for key in list(state.runs_by_worker):
             if key.worker == request.worker and (
@@ -351,7 +354,15 @@
                 or key.incarnation <= request.incarnation
             ):
                 commands += self._end_lost_runs(state, key)
-        self.fleet.remove(request.worker)
+        view = self.fleet.view_by_id.get(request.worker)
+        is_later = (
+            view is not None
+            and request.incarnation
+            and view.key.incarnation > request.incarnation
+        )
+        if view is not None and not is_later:
+            self.interference.forget_worker(view.key)
+            self.fleet.remove(request.worker)
         return commands
 
     # Periodic work.
