Forget ended jobs after a time, so that new ones are accepted

Cause: nothing proposed ForgetJobs, and ended jobs count towards the limit of 20,000, so the job after those was refused for ever. The leader now forgets a job job_retention_s (300 s) after it has ended, unless a run of it may still be going on. A new leader counts the time anew.

--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -293,6 +293,7 @@
             return
         self._propose_all(self.dispatcher.expire(now, self.state))
         self._propose_all(self.dispatcher.effects_to_persist(now))
+        self._propose_all(self.dispatcher.jobs_to_forget(now, self.state))
         self.dispatcher.log_load(now, self.state)
         self._propose_all(
             job_requests.commands_for_due_occurrences(self.state, wall_ms)
--- a/fulmarrouter/cluster/controller_setup.py
+++ b/fulmarrouter/cluster/controller_setup.py
@@ -50,5 +50,6 @@
             lease_s=min(WORKER_LEASE_S, settings.max_worker_lease_ms / 1000),
             restore_s=settings.checkpoint_restore_ms / 1000,
             reports_per_s=settings.reports_per_s,
+            job_retention_s=settings.job_retention_s,
         ),
     )
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -12,6 +12,7 @@
 from fulmarrouter.cluster import decision_log
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import interference_control
+from fulmarrouter.cluster import job_retention
 from fulmarrouter.cluster import load_summary
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
@@ -42,11 +43,13 @@
         restore_s: Time that a task needs to resume from a checkpoint.
         reports_per_s: Target number of reports that the leader reads per
             second, not counting those sent because a run has ended.
+        job_retention_s: Time for which ended jobs are kept.
     """
 
     lease_s: float = 6.0
     restore_s: float = 0.5
     reports_per_s: int = 500
+    job_retention_s: float = 300.0
 
 
 class Dispatcher:
@@ -69,6 +72,9 @@
             settings.restore_s
         )
         self.planner = planner_lib.Planner(self.fleet, self.interference)
+        self._job_retention = job_retention.JobRetention(
+            settings.job_retention_s
+        )
         self._term_started_at = 0.0
         self._expiry_due = 0.0
         self._summary_due = 0.0
@@ -98,6 +104,9 @@
         )
         self.planner = planner_lib.Planner(self.fleet, self.interference)
         self.planner.restore_job_ages(now, state, wall_ms)
+        self._job_retention = job_retention.JobRetention(
+            self._settings.job_retention_s
+        )
         self._workers_with_pending_ends = set()
         self._term_started_at = now
         self._persist_due = now + PERSIST_EFFECTS_INTERVAL_S
@@ -403,6 +412,13 @@
                 self.fleet.remove(worker)
         return commands
 
+    def jobs_to_forget(
+        self, now: float, state: state_lib.State
+    ) -> list[log_commands.AnyCommand]:
+        """Returns the command that forgets ended jobs, if any are due."""
+        command = self._job_retention.jobs_to_forget(now, state)
+        return [command] if command is not None else []
+
     def effects_to_persist(self, now: float) -> list[log_commands.AnyCommand]:
         """Returns the command that persists learned effects, if one is due."""
         if now < self._persist_due:
--- a/fulmarrouter/settings.py
+++ b/fulmarrouter/settings.py
@@ -191,6 +191,7 @@
         max_worker_lease_ms: Longest lease that workers accept.
         checkpoint_restore_ms: Time that a task needs to resume from a
             checkpoint.
+        job_retention_s: Time for which ended jobs can be asked for.
         stop_grace_s: Time between the request to stop and the kill.
         advice: Address of the placement advice service, or an empty string.
         direct_workers: Largest number of workers whose reports all go straight
@@ -215,6 +216,7 @@
     tolerated_losses: ToleratedLosses = ToleratedLosses()
     max_worker_lease_ms: Milliseconds = 6_000
     checkpoint_restore_ms: Milliseconds = 500
+    job_retention_s: Annotated[float, msgspec.Meta(ge=1, le=86_400)] = 300.0
     stop_grace_s: Annotated[float, msgspec.Meta(ge=1, le=600)] = 6.0
     advice: OptionalSocketAddress = ""
     direct_workers: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 48
