Move serving tasks so that filling tasks find more idle processors

Each further image keeps out the filling images that slow it: 130 to 240 filling tasks waited beside 100 to 400 idle cores. Tasks that arrive one after the other, and spread over workers, can't be placed better than that at first. Change: the leader moves a serving task, or exchanges two, where that gains most by the learned effects: one task of a job at a time, only while all of its tasks are at work and its owner allows it, and never into capacity that others want. The simulation gained a warm start, and the same arrivals for both sides of a pair, for this load only. The check of planning rounds keeps the reservations of moved tasks for the second planner, which would else take their capacity.

--- a/bench/load_simulation.py
+++ b/bench/load_simulation.py
@@ -39,8 +39,10 @@
 LOAD_PERIODS_S = (10.0, 20.0)  # Of the serving load; the seed selects one.
 LATE_FACTOR = 3.0  # Limit of late jobs, as a multiple of the objective.
 LATE_CREDIT = 0.15  # Share of its credit that a late job earns.
-WARM_UP_START_S = -7.0
-SERVING_START_S = -6.0
+# Before the first arrivals: when the workers report, and when the serving jobs
+# that run from the start are submitted.
+WARM_UP_S = 7.0
+SERVING_WARM_UP_S = 6.0
 # Added load of a serving task if a filling image used all of the processors.
 HEAVY_EFFECT_RANGE = (1.2, 3.0)
 LIGHT_EFFECT_RANGE = (0.0, 0.4)
@@ -84,7 +86,14 @@
             they are never cancelled.
         urgent: Shape of the urgent jobs.
         filling: Shape of the filling jobs.
+        filling_at_start: Filling jobs submitted with the first serving jobs;
+            they don't count in the results.
+        arrivals_start_s: When jobs begin to arrive. Workers get tasks from time
+            0 on, so tasks run before the arrivals only if this is positive.
+        same_arrivals: Whether a seed gives the same jobs whatever the workers
+            report, so that two policies can be compared in pairs.
         serving_width: Mean number of tasks of a serving job.
+        serving_millicores: Mean request of a serving task.
     """
 
     seconds: float = 30.0
@@ -102,7 +111,11 @@
     serving_lifetime_s: float = 0.0
     urgent: JobShape = JobShape(6, 4600, 640)
     filling: JobShape = JobShape(8, 7000, 2200)
+    filling_at_start: int = 0
+    arrivals_start_s: float = 0.0
+    same_arrivals: bool = False
     serving_width: float = 6.0
+    serving_millicores: float = 13_000
 
 
 @dataclasses.dataclass
@@ -254,12 +267,17 @@
         self.after_round: Callable[[float, state_lib.State], None] | None = None
         self._scenario = scenario
         self._rng = random.Random(seed)
+        self._noise_rng = (
+            random.Random(-1 - seed) if scenario.same_arrivals else self._rng
+        )
         self._state = state_lib.State()
         self._state.is_open = True
         self.dispatcher = dispatcher_lib.Dispatcher(
             dispatcher_lib.DispatchSettings()
         )
-        self.dispatcher.start_term(WARM_UP_START_S, self._state)
+        self.dispatcher.start_term(
+            scenario.arrivals_start_s - WARM_UP_S, self._state
+        )
         self._index = 0
         self._submitted: dict[model.JobId, _SubmittedJob] = {}
         self._work_ms: dict[model.TaskId, float] = {}
@@ -313,7 +331,9 @@
             stalls=0
             <= number - scenario.failing_workers
             < scenario.stalled_workers,
-            next_report_at=WARM_UP_START_S + self._rng.uniform(0, 0.3),
+            next_report_at=scenario.arrivals_start_s
+            - WARM_UP_S
+            + self._rng.uniform(0, 0.3),
         )
 
     # Generation of the load.
@@ -370,9 +390,9 @@
         self._phase_by_job[job] = self._rng.uniform(0, 2 * math.pi)
         lifetime_s = self._scenario.serving_lifetime_s
         if kind == "serving" and lifetime_s:
-            cancel_at = max(0.0, now) + self._draw_lognormal(
-                lifetime_s, 0.5, 3 * lifetime_s
-            )
+            cancel_at = max(
+                self._scenario.arrivals_start_s, now
+            ) + self._draw_lognormal(lifetime_s, 0.5, 3 * lifetime_s)
             self._cancellations.append((cancel_at, job))
         self._apply(log_commands.SubmitJob(job, queue, spec, 0))
 
@@ -449,7 +469,15 @@
         step = model.StepSpec(
             count=max(1, round(self._draw_lognormal(width, 0.4, 2 * width))),
             needs=commands.Resources(
-                int(self._draw_lognormal(13_000, 0.25, 20_000)), 26_000, 0
+                int(
+                    self._draw_lognormal(
+                        self._scenario.serving_millicores,
+                        0.25,
+                        1.54 * self._scenario.serving_millicores,
+                    )
+                ),
+                int(2 * self._scenario.serving_millicores),
+                0,
             ),
             runs_until_cancelled=True,
             max_per_worker=self._rng.choice((0, 0, 1, 2)),
@@ -463,14 +491,14 @@
     def run(self) -> Results:
         """Simulates the load, and 12 s more in which jobs can finish."""
         scenario = self._scenario
-        now = WARM_UP_START_S
-        while now < SERVING_START_S:
+        now = scenario.arrivals_start_s - WARM_UP_S
+        while now < scenario.arrivals_start_s - SERVING_WARM_UP_S:
             self._run_round(now)
             now += TICK_S
         self._submit_serving()
-        end = scenario.seconds + 12.0
+        end = scenario.arrivals_start_s + scenario.seconds + 12.0
         while now < end:
-            if 0 <= now < scenario.seconds:
+            if 0 <= now - scenario.arrivals_start_s < scenario.seconds:
                 self._submit_arrivals(now)
             self._advance(now)
             self._run_round(now)
@@ -482,16 +510,24 @@
         capacity = sum(item.capacity.millicores for item in self._workers)
         claimed = 0
         while claimed < scenario.serving_share * capacity:
-            self._submit(SERVING_START_S, "serving")
+            self._submit(
+                scenario.arrivals_start_s - SERVING_WARM_UP_S, "serving"
+            )
             spec = next(reversed(self._submitted.values())).spec
             claimed += sum(
                 step.count * step.needs.millicores for step in spec.steps
             )
+        for _ in range(scenario.filling_at_start):
+            self._submit(
+                scenario.arrivals_start_s - SERVING_WARM_UP_S, "filling"
+            )
 
     def _submit_arrivals(self, now: float) -> None:
         scenario = self._scenario
         third = scenario.seconds / 3
-        factor = scenario.burst_factor if third <= now < 2 * third else 1.0
+        elapsed_s = now - scenario.arrivals_start_s
+        is_burst = third <= elapsed_s < 2 * third
+        factor = scenario.burst_factor if is_burst else 1.0
         if self._rng.random() < scenario.urgent_per_s * TICK_S:
             self._submit(now, "urgent")
         if self._rng.random() < scenario.filling_per_s * factor * TICK_S:
@@ -522,6 +558,7 @@
         self._notify_applied()
         for command in self.dispatcher.expire(now, self._state):
             self._apply(command)
+        self.dispatcher.move_serving_tasks(now, self._state)
         planned = self.dispatcher.planner.plan(now, self._state)
         if planned is not None:
             self._apply(planned)
@@ -561,7 +598,7 @@
     def _active_runs(self, worker: _Worker) -> Iterator[requests.ActiveRun]:
         for run in worker.runs.values():
             percent = 100
-            noise = self._rng.gauss(1.0, TAIL_NOISE)
+            noise = self._noise_rng.gauss(1.0, TAIL_NOISE)
             usage = int(run.tail_ms * max(0.5, noise))
             if not run.spec.runs_until_cancelled:
                 percent = max(0, int(100 * run.done_ms / run.work_ms))
@@ -632,7 +669,7 @@
         )
 
     def _advance(self, now: float) -> None:
-        if now >= 0:
+        if now >= self._scenario.arrivals_start_s:
             self._serving_samples_waiting += sum(
                 step.waiting_count
                 for key, step in self._state.open_steps.items()
@@ -692,7 +729,7 @@
                 )
                 tail_ms = UNLOADED_TAIL_MS / max(0.012, 1 - effective_load)
                 run.tail_ms += weight * (tail_ms - run.tail_ms)
-                if now >= 0:
+                if now >= self._scenario.arrivals_start_s:
                     self._serving_samples += 1
                     self._serving_samples_in_target += tail_ms <= TAIL_TARGET_MS
                 continue
@@ -713,7 +750,11 @@
     def _summarize(self) -> Results:
         by_kind: dict[str, KindResults] = collections.defaultdict(KindResults)
         for job_id, item in self._submitted.items():
-            if item.kind == "serving" or item.always_fails:
+            is_counted = (
+                item.submitted_at >= self._scenario.arrivals_start_s
+                and not item.always_fails
+            )
+            if item.kind == "serving" or not is_counted:
                 continue
             kind = by_kind[item.kind]
             kind.jobs += 1
@@ -785,6 +826,24 @@
         filling=JobShape(20, 7000, 2200),
         serving_width=14.0,
     ),
+    # Small serving tasks claim most processors, and most filling images slow
+    # some of their images strongly.
+    "dense": Scenario(
+        millicores=32_000,
+        urgent_per_s=2.0,
+        filling_per_s=2.6,
+        burst_factor=1.4,
+        serving_share=0.8,
+        serving_per_s=0.1,
+        serving_lifetime_s=70.0,
+        heavy_effect_share=0.65,
+        urgent=JobShape(6, 2300, 1000),
+        filling=JobShape(8, 3500, 2200),
+        filling_at_start=6,
+        arrivals_start_s=8.0,
+        same_arrivals=True,
+        serving_millicores=6400,
+    ),
     "steady": Scenario(),
     "burst": Scenario(burst_factor=2.0),
     "overload": Scenario(filling_per_s=6.0),
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -29,8 +29,9 @@
 ) -> list[model.TaskId]:
     """Returns the tasks that a new planner would still assign.
 
-    It has no cached searches and considers all workers as changed. Filling
-    tasks are left out.
+    It has no cached searches and considers all workers as changed. The workers
+    that are reserved for tasks on the move stay reserved. Filling tasks are left
+    out.
     """
     dispatcher = simulation.dispatcher
     fleet = fleet_lib.Fleet()
@@ -38,6 +39,8 @@
     for worker in fleet.view_by_id:
         fleet.mark_changed(worker)
     fresh_planner = planner_lib.Planner(fleet, dispatcher.interference)
+    for task, worker in dispatcher.planner.moving_tasks():
+        fresh_planner.reserve(task, worker, _spec_of_task(state, task))
     planned = fresh_planner.plan(now, state)
     if planned is None:
         return []
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -298,6 +298,7 @@
         self._propose_all(
             job_requests.commands_for_due_occurrences(self.state, wall_ms)
         )
+        self.dispatcher.move_serving_tasks(now, self.state)
         planned = self.dispatcher.planner.plan(now, self.state)
         if planned is not None:
             self._propose(planned)
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -19,6 +19,7 @@
 from fulmarrouter.cluster import planner as planner_lib
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import serving_moves
 from fulmarrouter.cluster import stall_detection
 from fulmarrouter.cluster import state as state_lib
 
@@ -72,6 +73,7 @@
             settings.restore_s
         )
         self.planner = planner_lib.Planner(self.fleet, self.interference)
+        self._serving_mover = self._make_serving_mover()
         self._job_retention = job_retention.JobRetention(
             settings.job_retention_s
         )
@@ -107,6 +109,7 @@
         self._job_retention = job_retention.JobRetention(
             self._settings.job_retention_s
         )
+        self._serving_mover = self._make_serving_mover()
         self._workers_with_pending_ends = set()
         self._term_started_at = now
         self._persist_due = now + PERSIST_EFFECTS_INTERVAL_S
@@ -115,6 +118,14 @@
             state.runs_by_worker, lease_end
         )
 
+    def _make_serving_mover(self) -> serving_moves.ServingMover:
+        return serving_moves.ServingMover(
+            self.fleet,
+            self.planner,
+            self.interference.effects,
+            self._decisions,
+        )
+
     def _lease_end(self, now: float) -> float:
         """Returns when leases granted by now have ended on any worker clock."""
         return (
@@ -419,6 +430,10 @@
         command = self._job_retention.jobs_to_forget(now, state)
         return [command] if command is not None else []
 
+    def move_serving_tasks(self, now: float, state: state_lib.State) -> None:
+        """Starts moves of serving tasks that make room for filling tasks."""
+        self._serving_mover.run(now, state)
+
     def effects_to_persist(self, now: float) -> list[log_commands.AnyCommand]:
         """Returns the command that persists learned effects, if one is due."""
         if now < self._persist_due:
--- a/fulmarrouter/cluster/interference_model.py
+++ b/fulmarrouter/cluster/interference_model.py
@@ -50,6 +50,14 @@
 # Effects change over time, so it must remain able to correct them.
 MAX_INHERITED_OBSERVATIONS = 20
 
+# Effect up to which filling tasks may use about all processors that serving
+# tasks leave idle.
+TOLERATED_EFFECT = 2.0
+# Share of these that a filling image may use while its effect is not known.
+UNKNOWN_TOLERANCE = 0.6
+# Observations after which an effect counts as known.
+MIN_OBSERVATIONS = 5
+
 ShareByImage = dict[str, float]
 
 
@@ -91,6 +99,9 @@
         inherited_effects: Iterable[log_commands.InterferenceEffect] = (),
     ) -> None:
         self._effect_by_pair: dict[tuple[str, str], _Effect] = {}
+        self._filling_images: set[str] = set()
+        # Valid until clear_compatibilities is called.
+        self._compatibility_by_images: dict[tuple[str, str], float] = {}
         self.inherit(inherited_effects)
         self._cached_baseline_by_job: dict[
             model.JobId, tuple[float, float | None]
@@ -104,16 +115,64 @@
     ) -> None:
         """Takes over effects learned by earlier leaders."""
         for item in inherited_effects:
+            self._filling_images.add(item.filling)
             trusted = min(item.observations, MAX_INHERITED_OBSERVATIONS)
             self._effect_by_pair[item.filling, item.serving] = _Effect(
                 item.headroom_loss, trusted, item.headroom_loss
             )
 
+    @property
+    def has_observations(self) -> bool:
+        """Whether filling tasks have run beside serving ones."""
+        return bool(self._effect_by_pair)
+
     def effect(self, filling: str, serving: str) -> float:
         """Returns the headroom lost if the filling image used a full worker."""
         known = self._effect_by_pair.get((filling, serving))
         return known.value if known else PRIOR_EFFECT
 
+    def compatibility(self, serving: str, other: str) -> float:
+        """Returns the share of the filling work that two images both bear.
+
+        Averages over the filling images that are known.
+
+        Args:
+            serving: A serving image.
+            other: Another serving image, or the same one.
+        """
+        known = self._compatibility_by_images.get((serving, other))
+        if known is not None:
+            return known
+        total = sum(
+            self._joint_tolerance(filling, serving, other)
+            for filling in self._filling_images
+        )
+        found = total / max(1, len(self._filling_images))
+        self._compatibility_by_images[serving, other] = found
+        return found
+
+    def clear_compatibilities(self) -> None:
+        """Has the compatibilities computed from the present effects."""
+        self._compatibility_by_images.clear()
+
+    def _joint_tolerance(self, filling: str, serving: str, other: str) -> float:
+        first = self._tolerance(filling, serving)
+        if serving == other:
+            return UNKNOWN_TOLERANCE if first is None else first
+        second = self._tolerance(filling, other)
+        if first is not None and second is not None:
+            return min(first, second)
+        return (UNKNOWN_TOLERANCE if first is None else first) * (
+            UNKNOWN_TOLERANCE if second is None else second
+        )
+
+    def _tolerance(self, filling: str, serving: str) -> float | None:
+        """Returns the share of the idle time that an image may use."""
+        known = self._effect_by_pair.get((filling, serving))
+        if known is None or known.observations < MIN_OBSERVATIONS:
+            return None
+        return TOLERATED_EFFECT / max(known.value, TOLERATED_EFFECT)
+
     def expected_loss(self, serving: str, shares: ShareByImage) -> float:
         """Returns the headroom that filling images are expected to cost."""
         return sum(
@@ -226,6 +285,7 @@
         error = headroom_loss - self.expected_loss(serving, shares)
         squared_norm = sum(share * share for share in shares.values())
         for image, share in shares.items():
+            self._filling_images.add(image)
             pair = (image, serving)
             known = self._effect_by_pair.setdefault(pair, _Effect())
             rate = max(
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -58,13 +58,15 @@
         self._fleet = fleet
         self._interference = interference
         self._capacity_index = capacity_index.CapacityIndex(
-            fleet, interference, self._reservations_of
+            fleet, interference, self.reservations_of
         )
         self._search_cache = search_cache.SearchCache()
         self._reserved_by_worker: dict[
             model.WorkerId, dict[model.TaskId, model.StepSpec]
         ] = {}
         self._worker_by_reserved: dict[model.TaskId, model.WorkerId] = {}
+        # Tasks that are being moved to the worker that is reserved for them.
+        self._moving: set[model.TaskId] = set()
         self._next_round_at = 0.0
         self._first_seen_by_job: dict[model.JobId, float] = {}
 
@@ -88,14 +90,44 @@
     def on_assigned(self, command: log_commands.AssignTasks) -> None:
         """Drops the reservations of assignments that have been applied."""
         for item in command.assignments:
-            worker = self._worker_by_reserved.pop(item.task, None)
-            if worker is None:
-                continue
-            reserved = self._reserved_by_worker[worker]
-            del reserved[item.task]
-            if not reserved:
-                del self._reserved_by_worker[worker]
-            self._fleet.mark_changed(worker)
+            self.release(item.task)
+
+    def reserve(
+        self,
+        task: model.TaskId,
+        worker: model.WorkerId,
+        spec: model.StepSpec,
+    ) -> None:
+        """Reserves a worker for a task that is to be moved there.
+
+        The task is assigned to it as soon as it waits.
+        """
+        self._moving.add(task)
+        self._add_reservation(task, worker, spec)
+        self._fleet.mark_changed(worker)
+
+    def moving_tasks(self) -> Iterator[tuple[model.TaskId, model.WorkerId]]:
+        """Yields the tasks that are being moved and their new workers."""
+        for task in self._moving:
+            yield task, self._worker_by_reserved[task]
+
+    def release(self, task: model.TaskId) -> None:
+        """Drops the reservation of a task, if it has one."""
+        self._moving.discard(task)
+        worker = self._worker_by_reserved.pop(task, None)
+        if worker is None:
+            return
+        reserved = self._reserved_by_worker[worker]
+        del reserved[task]
+        if not reserved:
+            del self._reserved_by_worker[worker]
+        self._fleet.mark_changed(worker)
+
+    def reservations_of(
+        self, worker: model.WorkerId
+    ) -> Iterator[model.StepSpec]:
+        """Yields the steps of the tasks for which a worker is reserved."""
+        return iter(self._reserved_by_worker.get(worker, {}).values())
 
     def forget_jobs(self, state: state_lib.State) -> None:
         """Drops the ages of ended jobs and the searches of closed steps."""
@@ -112,6 +144,7 @@
         self, now: float, state: state_lib.State
     ) -> log_commands.AssignTasks | None:
         """Assigns waiting tasks to workers."""
+        assignments = self._assign_moved(now, state)
         opened = state.take_newly_open_steps()
         if now >= self._next_round_at:
             self._next_round_at = now + PLANNING_INTERVAL_S
@@ -119,7 +152,8 @@
         else:
             # The last full round has covered the other steps.
             keys = [key for key in opened if key in state.open_steps]
-        if not keys and now < self._capacity_index.statistics_due:
+        is_idle = not keys and now < self._capacity_index.statistics_due
+        if is_idle and not assignments:
             return None
         self._capacity_index.refresh(now, state)
         for key in opened:
@@ -128,7 +162,6 @@
                 self._capacity_index.record_opened_step(
                     service, state.spec_of(key)
                 )
-        assignments: list[log_commands.Assignment] = []
         checks = 0
         for key in self._order_steps(now, state, keys):
             found, checked = self._place_step(now, state, key)
@@ -232,11 +265,6 @@
             )
         return self._reserve_and_assign(state, search.key, chosen), checks
 
-    def _reservations_of(
-        self, worker: model.WorkerId
-    ) -> Iterator[model.StepSpec]:
-        return iter(self._reserved_by_worker.get(worker, {}).values())
-
     def _is_past_starvation_age(self, now: float, job: model.JobId) -> bool:
         return now - self._first_seen_by_job.get(job, now) > STARVATION_AGE_S
 
@@ -262,14 +290,53 @@
                 candidate.worker,
                 candidate.incarnation,
             )
-            self._worker_by_reserved[assignment.task] = assignment.worker
-            reserved = self._reserved_by_worker.setdefault(
-                assignment.worker, {}
-            )
-            reserved[assignment.task] = spec
+            self._add_reservation(assignment.task, assignment.worker, spec)
             assignments.append(assignment)
         return assignments
 
+    def _add_reservation(
+        self,
+        task: model.TaskId,
+        worker: model.WorkerId,
+        spec: model.StepSpec,
+    ) -> None:
+        self._worker_by_reserved[task] = worker
+        self._reserved_by_worker.setdefault(worker, {})[task] = spec
+
+    def _assign_moved(
+        self, now: float, state: state_lib.State
+    ) -> list[log_commands.Assignment]:
+        """Assigns the moved tasks that wait to their reserved workers.
+
+        A task whose new worker can't take it any more is placed as any other.
+        """
+        assignments = []
+        for task_id in list(self._moving):
+            found = state.find_task(task_id)
+            if found is None or not found[0].is_active:
+                self.release(task_id)
+                continue
+            job, key, _, task = found
+            spec = job.spec.steps[key.step]
+            if task.phase is not model.TaskPhase.WAITING:
+                continue
+            worker = self._worker_by_reserved[task_id]
+            view = self._fleet.view_by_id.get(worker)
+            if view is None or view.report.draining or not view.is_fresh(now):
+                self.release(task_id)
+                continue
+            self._fleet.refresh_usage(state, view)
+            if not spec.needs.fits_in(view.free_resources()):
+                # The task with which it changes places has not ended yet.
+                continue
+            self._moving.remove(task_id)
+            assignments.append(
+                log_commands.Assignment(
+                    task_id, task.run + 1, worker, view.key.incarnation
+                )
+            )
+        return assignments
+
     def _order_steps(
         self,
         now: float,
