--- a/features/serving_moves.feature
+++ b/features/serving_moves.feature
@@ -48,6 +48,12 @@
       | its new worker is silent        | w2     |
       | its job is cancelled            | nobody |
 
+  Scenario: The leader's log shows how many serving images share a worker
+    Given a worker with 3 serving tasks of one image and 1 of another, and a worker with room beside 2 tasks of the other
+    And all tasks are at work
+    When the load is logged
+    Then it shows 1.5 images per worker
+
   Scenario: Filling jobs beside serving tasks of several images on each worker
     When the load dense is run with seeds 0 to 5, with and without moves of serving tasks
     Then filling jobs earn more credit with moves
--- a/fulmarrouter/cluster/load_summary.py
+++ b/fulmarrouter/cluster/load_summary.py
@@ -4,6 +4,8 @@
 worker, and what the step that has waited longest requests.
 """
 
+import statistics
+
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import interference_control
 from fulmarrouter.cluster import state as state_lib
@@ -19,13 +21,15 @@
 ) -> dict[str, object]:
     """Returns the fields of a log line on the current load.
 
-    Processor time is rounded down to whole cores.
+    Processor time is rounded down to whole cores. `images_per_worker` is the
+    mean number of serving images on the workers that have any.
     """
     capacity = 0
     free = 0
     idle = 0
     largest_gap = 0
     paused = 0
+    image_counts = []
     for view in fleet.view_by_id.values():
         fleet.refresh_usage(state, view)
         free_here = view.free_resources().millicores
@@ -34,6 +38,8 @@
         idle += max(0, view.idle_millicores)
         largest_gap = max(largest_gap, free_here)
         paused += interference.paused_count(view.key)
+        if view.serving_count_by_image:
+            image_counts.append(len(view.serving_count_by_image))
     waiting = {"ordinary": 0, "filling": 0, "serving": 0}
     oldest: state_lib.StepKey | None = None
     for key, step in state.open_steps.items():
@@ -53,6 +59,7 @@
         "idle_cores": idle // 1000,
         "largest_gap_cores": largest_gap // 1000,
         "paused": paused,
+        "images_per_worker": round(statistics.fmean(image_counts or [0]), 2),
         **{f"waiting_{kind}": count for kind, count in waiting.items()},
     }
     if oldest is not None:
