Check the limit per worker and the service when a serving task moves

Cause: the new worker of a moving task was checked for max_per_worker only when the move began. While the task stops, another task of its step may be put there, for instance after its worker was lost. Also, workers of other services counted as targets. Change: the limit is checked again when the task is assigned; if it is reached, the task is placed as any other. A move stays within the service of the job. Two of the new scenarios fail without the change.

--- a/features/serving_moves.feature
+++ b/features/serving_moves.feature
@@ -34,19 +34,21 @@
       | its job must not lose a task       | 0     |
       | no filling task has run            | 0     |
       | the other worker is draining       | 0     |
+      | the other worker serves another service | 0 |
 
   Scenario Outline: A serving task that has stopped to move, and <event>
     Given a worker with 3 serving tasks of one image and 1 of another, and a worker with room beside 2 tasks of the other
-    And a third worker with room
+    And another task of its job on a worker of its own, and one with room
     When a task has stopped to move and <event>
     Then it is assigned to <worker>
 
     Examples:
       | event                           | worker |
       | nothing else happens            | w1     |
-      | its new worker drains           | w2     |
-      | its new worker is silent        | w2     |
+      | its new worker drains           | w3     |
+      | its new worker is silent        | w3     |
       | its job is cancelled            | nobody |
+      | the other task was put there    | w2     |
 
   Scenario: The leader's log shows how many serving images share a worker
     Given a worker with 3 serving tasks of one image and 1 of another, and a worker with room beside 2 tasks of the other
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -67,6 +67,7 @@
         ended: tuple[requests.EndedRun, ...] = (),
         draining: bool = False,
         incarnation: int = 1,
+        service: model.ServiceName = SERVICE,
     ) -> requests.Orders:
         """Handles a worker's report; returns the orders that answer it."""
         self._sequence += 1
@@ -74,7 +75,7 @@
             model.WorkerId(worker),
             incarnation,
             self._sequence,
-            SERVICE,
+            service,
             "",
             "z",
             worker,
--- a/features/steps/serving_moves_steps.py
+++ b/features/steps/serving_moves_steps.py
@@ -27,7 +27,12 @@
 MOVED_TASK = model.TaskId("odd.0.0.0")
 
 
-def _step(image: str, count: int, max_unavailable: int = -1) -> model.StepSpec:
+def _step(
+    image: str,
+    count: int,
+    max_unavailable: int = -1,
+    max_per_worker: int = 0,
+) -> model.StepSpec:
     return model.StepSpec(
         count,
         commands.Resources(TASK_MILLICORES, 10, 0),
@@ -35,6 +40,7 @@
         image=image,
         tail_target_ms=150,
         max_unavailable=max_unavailable,
+        max_per_worker=max_per_worker,
     )
 
 
@@ -51,6 +57,7 @@
         context.hosts.append(
             serving_arrangement.Host(
                 worker,
+                filling_steps.SERVICE,
                 WORKER_MILLICORES,
                 commands.Resources(int(free) * 1000, 1000, 0),
                 (),
@@ -62,6 +69,7 @@
             serving_arrangement.MovableTask(
                 model.TaskId(f"{number}.{index}"),
                 model.JobId(f"{number}.{index}"),
+                filling_steps.SERVICE,
                 _step(image, 1),
             )
             for index, image in enumerate(images)
@@ -110,6 +118,7 @@
         }
         self.percent_by_task: dict[model.TaskId, int] = {}
         self.draining: set[str] = set()
+        self.service_by_worker: dict[str, model.ServiceName] = {}
         self.run_job("same", _step("a", 3), ["w0"] * 3)
         self.run_job("others", _step("b", 2), ["w1"] * 2)
 
@@ -132,6 +141,17 @@
             self.tasks_by_worker[worker].append(task)
             self.percent_by_task[task] = 100
 
+    def move_by_hand(
+        self, task: model.TaskId, source: str, target: str
+    ) -> None:
+        """Ends a task's first run as lost and assigns the second one."""
+        end = log_commands.RunEnd(
+            task, 1, model.WorkerId(source), 1, model.Outcome.LOST
+        )
+        self.harness.commit(log_commands.EndRuns((end,)))
+        assignment = log_commands.Assignment(task, 2, model.WorkerId(target), 1)
+        self.harness.commit(log_commands.AssignTasks((assignment,)))
+
     def learn_effects(self) -> None:
         """Makes each image bear another one of two filling images."""
         self.harness.dispatcher.interference.effects.inherit(
@@ -156,6 +176,7 @@
             WORKER_MILLICORES,
             running,
             draining=worker in self.draining,
+            service=self.service_by_worker.get(worker, filling_steps.SERVICE),
         )
 
     def stops(self, now: float) -> list[model.TaskId]:
@@ -214,11 +235,18 @@
     context.cluster.draining.add("w1")
 
 
-@given("a third worker with room")
-def step_third_worker(context: Any) -> None:
-    context.cluster.tasks_by_worker["w2"] = []
-    context.cluster.run_job("third", _step("a", 2), ["w2"] * 2)
+@given("the other worker serves another service")
+def step_other_service(context: Any) -> None:
     context.cluster.run_job("odd", _step("b", 1), ["w0"])
+    context.cluster.service_by_worker["w1"] = model.ServiceName("other")
+
+
+@given("another task of its job on a worker of its own, and one with room")
+def step_further_workers(context: Any) -> None:
+    cluster = context.cluster
+    cluster.tasks_by_worker.update({"w2": [], "w3": []})
+    cluster.run_job("odd", _step("b", 2, max_per_worker=1), ["w0", "w2"])
+    cluster.run_job("roomy", _step("a", 2), ["w3"] * 2)
 
 
 @when("moves are due")
@@ -265,9 +293,11 @@
         cluster.report(ASSIGNED_AT_S, "w1")
     elif event == "its new worker is silent":
         assigned_at = SILENT_UNTIL_S
-        cluster.report(assigned_at, "w2")
+        cluster.report(assigned_at, "w3")
     elif event == "its job is cancelled":
         cluster.harness.commit(log_commands.CancelJob(model.JobId("odd")))
+    elif event == "the other task was put there":
+        cluster.move_by_hand(model.TaskId("odd.0.0.1"), "w2", "w1")
     context.assigned = cluster.harness.plan(assigned_at)
 
 
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -316,13 +316,18 @@
             if found is None or not found[0].is_active:
                 self.release(task_id)
                 continue
-            job, key, _, task = found
+            job, key, step, task = found
             spec = job.spec.steps[key.step]
             if task.phase is not model.TaskPhase.WAITING:
                 continue
             worker = self._worker_by_reserved[task_id]
             view = self._fleet.view_by_id.get(worker)
-            if view is None or view.report.draining or not view.is_fresh(now):
+            if (
+                view is None
+                or view.report.draining
+                or not view.is_fresh(now)
+                or worker in step.workers_at_limit(spec)
+            ):
                 self.release(task_id)
                 continue
             self._fleet.refresh_usage(state, view)
--- a/fulmarrouter/cluster/serving_arrangement.py
+++ b/fulmarrouter/cluster/serving_arrangement.py
@@ -38,6 +38,7 @@
     """
 
     worker: model.WorkerId
+    service: model.ServiceName
     capacity_millicores: int
     free: commands.Resources
     labels: Sequence[str]
@@ -51,11 +52,13 @@
     """A serving task that may be moved.
 
     Attributes:
+        service: Service whose workers may run it.
         workers_at_limit: Workers that may not run another task of its step.
     """
 
     task: model.TaskId
     job: model.JobId
+    service: model.ServiceName
     spec: model.StepSpec
     workers_at_limit: frozenset[model.WorkerId] = frozenset()
 
@@ -236,7 +239,8 @@
 ) -> bool:
     spec = item.spec
     return (
-        spec.needs.fits_in(free)
+        item.service == target.service
+        and spec.needs.fits_in(free)
         and (not spec.required_label or spec.required_label in target.labels)
         and spec.preferred_rack in ("", target.rack)
         and target.worker not in item.workers_at_limit
--- a/fulmarrouter/cluster/serving_moves.py
+++ b/fulmarrouter/cluster/serving_moves.py
@@ -167,6 +167,7 @@
             hosts.append(
                 serving_arrangement.Host(
                     view.key.worker,
+                    view.report.service,
                     view.report.capacity.millicores,
                     free,
                     view.report.labels,
@@ -223,7 +224,11 @@
                 continue
             movable.append(
                 serving_arrangement.MovableTask(
-                    task_id, job.id, spec, _workers_at_limit(spec, step)
+                    task_id,
+                    job.id,
+                    job.queue.service,
+                    spec,
+                    frozenset(step.workers_at_limit(spec)),
                 )
             )
         return movable
@@ -286,18 +291,3 @@
         and not spec.gang
         and not spec.colocate
     )
-
-
-def _workers_at_limit(
-    spec: model.StepSpec, step: state_lib.Step
-) -> frozenset[model.WorkerId]:
-    if not spec.max_per_worker:
-        return frozenset()
-    count_by_worker: dict[str, int] = {}
-    for task in step.tasks:
-        count_by_worker[task.worker] = count_by_worker.get(task.worker, 0) + 1
-    return frozenset(
-        model.WorkerId(worker)
-        for worker, count in count_by_worker.items()
-        if count >= spec.max_per_worker
-    )
