--- a/fulmarrouter/cluster/serving_moves.py
+++ b/fulmarrouter/cluster/serving_moves.py
@@ -38,7 +38,7 @@
     """A move in progress.
 
     Attributes:
-        run: The run that is stopped.
+        run: The run that is stopped so that the task can move.
     """
 
     task: model.TaskId
@@ -52,7 +52,7 @@
     Args:
         fleet: The workers, as last reported.
         planner: Assigns the moved tasks to their new workers.
-        effects: Tells whether there are filling tasks at all.
+        effects: Tells which serving images bear the same filling images.
         decisions: Receives the decisions to be logged.
     """
 
@@ -126,6 +126,7 @@
         return None
 
     def _finish_moves(self, now: float, state: state_lib.State) -> None:
+        """Drops the moves that have ended or taken too long."""
         for job_id, move in list(self._move_by_job.items()):
             found = state.find_task(move.task)
             is_over = (
@@ -236,6 +237,7 @@
     def _is_all_at_work(
         self, now: float, key: state_lib.StepKey, step: state_lib.Step
     ) -> bool:
+        """Whether all tasks of a step are ready and none is being stopped."""
         for index, task in enumerate(step.tasks):
             view = self._fleet.view_by_id.get(model.WorkerId(task.worker))
             if (
