--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -18,6 +18,7 @@
 
 import defopt
 
+from bench import load_scenarios
 from bench import load_simulation
 from fulmarrouter.cluster import gaps
 from fulmarrouter.cluster import health
@@ -141,7 +142,7 @@
 def _shares(load: str, mechanism: str, seed: int) -> dict[str, float]:
     """Plays a load without a mechanism; returns what each kind earns."""
     scenario = dataclasses.replace(
-        load_simulation.SCENARIO_BY_NAME[load], same_arrivals=True
+        load_scenarios.SCENARIO_BY_NAME[load], same_arrivals=True
     )
     with _SWITCH_BY_MECHANISM[mechanism]():
         results = load_simulation.Simulation(scenario, seed).run()
@@ -168,7 +169,7 @@
         only: Mechanism to switch off; all of them if it is empty.
     """
     known = [name for name in _SWITCH_BY_MECHANISM if name != NOTHING]
-    if load not in load_simulation.SCENARIO_BY_NAME:
+    if load not in load_scenarios.SCENARIO_BY_NAME:
         raise SystemExit(f"load: no such scenario: {load}")
     if seeds < 2:
         raise SystemExit(f"seeds: must be at least 2, not {seeds}")
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -15,6 +15,7 @@
 from behave import then
 from behave import when
 
+from bench import load_scenarios
 from bench import load_simulation
 from features.support import cluster_scenarios
 from features.support import cluster_simulation
@@ -505,7 +506,7 @@
 
 def _run_load(name: str) -> load_simulation.Results:
     scenario = dataclasses.replace(
-        load_simulation.SCENARIO_BY_NAME[name], seconds=LOAD_SECONDS
+        load_scenarios.SCENARIO_BY_NAME[name], seconds=LOAD_SECONDS
     )
     return load_simulation.Simulation(scenario, LOAD_SEED).run()
 
--- a/features/steps/gaps_steps.py
+++ b/features/steps/gaps_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from bench import load_scenarios
 from bench import load_simulation
 from features.steps import filling_steps
 from fulmarrouter import commands
@@ -194,7 +195,7 @@
 def step_run_with_and_without_protection(
     context: Any, load: str, seed: int
 ) -> None:
-    scenario = load_simulation.SCENARIO_BY_NAME[load]
+    scenario = load_scenarios.SCENARIO_BY_NAME[load]
     context.protected_report = load_simulation.Simulation(scenario, seed).run()
     with (
         mock.patch.object(
@@ -237,7 +238,7 @@
 
 @when("the load {load} is run with seeds {first:d} to {last:d}")
 def step_run_seeds(context: Any, load: str, first: int, last: int) -> None:
-    scenario = load_simulation.SCENARIO_BY_NAME[load]
+    scenario = load_scenarios.SCENARIO_BY_NAME[load]
     reports = [
         load_simulation.Simulation(scenario, seed).run()
         for seed in range(first, last + 1)
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -7,6 +7,7 @@
 from behave import then
 from behave import when
 
+from bench import load_scenarios
 from bench import load_simulation
 from features.steps import filling_steps
 from fulmarrouter import commands
@@ -62,7 +63,7 @@
     " again by a planner without cached searches"
 )
 def step_run_and_replan(context: Any, load: str, seed: int) -> None:
-    scenario = load_simulation.SCENARIO_BY_NAME[load]
+    scenario = load_scenarios.SCENARIO_BY_NAME[load]
     simulation = load_simulation.Simulation(
         scenario, seed, seconds=LOAD_DURATION_S
     )
--- a/features/steps/serving_moves_steps.py
+++ b/features/steps/serving_moves_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from bench import load_scenarios
 from bench import load_simulation
 from features.steps import filling_steps
 from fulmarrouter import commands
@@ -317,7 +318,7 @@
 def step_run_with_and_without(
     context: Any, load: str, first: int, last: int
 ) -> None:
-    scenario = load_simulation.SCENARIO_BY_NAME[load]
+    scenario = load_scenarios.SCENARIO_BY_NAME[load]
 
     def run_all() -> list[load_simulation.Results]:
         return [
