Show by scenarios that fail how assignments exceed limits

They cover hypotheses 1 to 4 of docs/incidents/tasks-of-a-step-beyond-the-limit.md, and a worker beyond its capacity.

--- /dev/null
+++ b/features/assignments.feature
@@ -0,0 +1,50 @@
+Feature: No way to assign a task exceeds the limits of its step and its worker
+  An assignment is planned while earlier ones await their commit and while runs
+  that are no longer wanted are being stopped. The scenarios guard against
+  assignments that are checked against committed commands only.
+
+  # Guards against two tasks of a step on one worker: an assignment that awaits its
+  # commit wasn't counted when a moved task was assigned.
+  Scenario: A task has stopped to move while the assignment of another one of its step awaits its commit
+    Given a task that is to move to a worker, and another task of its step
+    When the other one loses its worker and is planned, and the first one has stopped before that is committed
+    Then each task is planned once, and for a worker of its own
+
+  # Guards against two tasks of a step on one worker: a move was given up although
+  # its assignment had been proposed.
+  Scenario: The commit of a moved task's assignment takes longer than a move may
+    Given a task that is to move to a worker, and another task of its step
+    When the commit of its assignment takes longer than a move may, and the other one loses its worker meanwhile
+    Then each task is planned once, and for a worker of its own
+
+  # Guards against a task on a worker that may not run it: the worker was checked
+  # only when the move began.
+  Scenario Outline: The worker that a task is to move to restarts <how>
+    Given a task that needs a label and is to move to a worker
+    When that worker restarts <how> before the task has stopped
+    Then the task is planned for <worker>
+
+    Examples:
+      | how                | worker |
+      | with all it had    | w1     |
+      | in another service | w3     |
+      | without the label  | w3     |
+
+  # Guards against a worker beyond its capacity: an assignment that awaits its commit
+  # wasn't counted when a moved task was assigned.
+  Scenario: Two tasks change places while an assignment to one of the workers awaits its commit
+    Given two tasks that are to change places, on full workers
+    When an assignment to one of them awaits its commit, and the task that is to move there has stopped
+    Then the task is not planned before the other one has stopped
+
+  # Guards against two tasks of a step on one worker: only runs of tasks that are
+  # still to be done were counted.
+  Scenario Outline: A run is no longer wanted, because <event>
+    Given a worker that runs a task of a step with a limit of 1 per worker
+    When <event>, and the worker still reports the run
+    Then no task of the step is planned for the worker until the run has stopped
+
+    Examples:
+      | event                                         |
+      | an earlier run of the task has ended as done  |
+      | another process has said that the worker left |
--- /dev/null
+++ b/features/steps/assignment_steps.py
@@ -0,0 +1,258 @@
+"""Steps on assignments that are made while others await their commit."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps import filling_steps
+from features.steps import serving_moves_steps
+from fulmarrouter import commands
+from fulmarrouter.cluster import log_commands
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import requests
+
+MOVED_TASK = serving_moves_steps.MOVED_TASK
+OTHER_TASK = model.TaskId("odd.0.0.1")
+LABEL = "special"
+# Capacity of a worker with four serving tasks and room for another.
+LARGE_WORKER_MILLICORES = 20_000
+
+
+def _leave(context: Any, worker: str) -> None:
+    """Ends the runs of a worker that leaves."""
+    harness = context.cluster.harness
+    context.cluster.tasks_by_worker.pop(worker)
+    left = requests.WorkerLeft(model.WorkerId(worker), 0)
+    for command in harness.dispatcher.on_left(harness.state, left):
+        harness.commit(command)
+
+
+def _propose(context: Any, now: float) -> None:
+    """Plans a round, whose commit is pending."""
+    harness = context.cluster.harness
+    planned = harness.dispatcher.planner.plan(now, harness.state)
+    if planned is not None:
+        context.pending.append(planned)
+
+
+def _stop_moved_task(context: Any, now: float, worker: str = "w0") -> None:
+    """Reports that the task to be moved has stopped."""
+    cluster = context.cluster
+    cluster.tasks_by_worker[worker].remove(MOVED_TASK)
+    running = tuple(
+        requests.ActiveRun(task, 1, "", 100, 50)
+        for task in cluster.tasks_by_worker[worker]
+    )
+    end = requests.EndedRun(1, MOVED_TASK, 1, model.Outcome.STOPPED, "")
+    millicores = cluster.millicores_by_worker.get(
+        worker, serving_moves_steps.WORKER_MILLICORES
+    )
+    labels = cluster.labels_by_worker.get(worker, ())
+    cluster.harness.report(
+        now, worker, millicores, running, (end,), labels=labels
+    )
+
+
+@given("a task that is to move to a worker, and another task of its step")
+def step_moving_task(context: Any) -> None:
+    serving_moves_steps.step_mixed_worker(context)
+    serving_moves_steps.step_further_workers(context)
+    context.pending = []
+    assert context.cluster.stops(5.0) == [MOVED_TASK]
+
+
+# An assignment awaits its commit.
+
+
+@when(
+    "the other one loses its worker and is planned, and the first one has"
+    " stopped before that is committed"
+)
+def step_stopped_before_commit(context: Any) -> None:
+    cluster = context.cluster
+    _leave(context, "w2")
+    cluster.draining.add("w3")
+    for worker in cluster.tasks_by_worker:
+        cluster.report(5.1, worker)
+    _propose(context, 5.15)
+    _stop_moved_task(context, 5.2)
+    _propose(context, 5.3)
+
+
+@when(
+    "the commit of its assignment takes longer than a move may, and the other"
+    " one loses its worker meanwhile"
+)
+def step_commit_outlasts_move(context: Any) -> None:
+    cluster = context.cluster
+    _stop_moved_task(context, 5.2)
+    _propose(context, 5.3)
+    _leave(context, "w2")
+    cluster.draining.add("w3")
+    for tenth in range(53, 85):
+        now = tenth / 10
+        for worker in cluster.tasks_by_worker:
+            cluster.report(now, worker)
+        harness = cluster.harness
+        harness.dispatcher.move_serving_tasks(now, harness.state)
+        _propose(context, now + 0.05)
+
+
+@then("each task is planned once, and for a worker of its own")
+def step_workers_of_their_own(context: Any) -> None:
+    planned = [
+        (item.task, item.worker)
+        for command in context.pending
+        for item in command.assignments
+        if item.task in (MOVED_TASK, OTHER_TASK)
+    ]
+    tasks = [task for task, _ in planned]
+    workers = [worker for _, worker in planned]
+    assert MOVED_TASK in tasks, planned
+    assert len(set(tasks)) == len(tasks), planned
+    assert len(set(workers)) == len(workers), planned
+
+
+# The worker that a task is to move to restarts.
+
+
+@given("a task that needs a label and is to move to a worker")
+def step_moving_labelled_task(context: Any) -> None:
+    serving_moves_steps.step_mixed_worker(context)
+    cluster = context.cluster
+    for worker in ("w0", "w1", "w3"):
+        cluster.labels_by_worker[worker] = (LABEL,)
+    cluster.tasks_by_worker["w3"] = []
+    cluster.run_job(
+        "odd", serving_moves_steps._step("b", 1, required_label=LABEL), ["w0"]
+    )
+    cluster.run_job("roomy", serving_moves_steps._step("a", 2), ["w3"] * 2)
+    context.pending = []
+    assert cluster.stops(5.0) == [MOVED_TASK]
+
+
+@when("that worker restarts {how} before the task has stopped")
+def step_target_restarts(context: Any, how: str) -> None:
+    cluster = context.cluster
+    cluster.tasks_by_worker["w1"] = []
+    cluster.incarnation_by_worker["w1"] = 2
+    if how == "in another service":
+        cluster.service_by_worker["w1"] = model.ServiceName("other")
+    elif how == "without the label":
+        cluster.labels_by_worker["w1"] = ()
+    cluster.report(5.1, "w1")
+    _stop_moved_task(context, 5.2)
+    _propose(context, 5.3)
+
+
+@then("the task is planned for {worker}")
+def step_planned_for(context: Any, worker: str) -> None:
+    found = [
+        item.worker
+        for command in context.pending
+        for item in command.assignments
+        if item.task == MOVED_TASK
+    ]
+    assert found == [worker], found
+
+
+# Capacity.
+
+
+@given("two tasks that are to change places, on full workers")
+def step_exchange(context: Any) -> None:
+    serving_moves_steps.step_mixed_worker(context)
+    cluster = context.cluster
+    step = serving_moves_steps._step("b", 1)
+    cluster.run_job("third", step, ["w1"])
+    cluster.run_job("back", serving_moves_steps._step("a", 1), ["w1"])
+    cluster.run_job("odd", step, ["w0"])
+    cluster.millicores_by_worker["w1"] = LARGE_WORKER_MILLICORES
+    context.pending = []
+
+
+@when(
+    "an assignment to one of them awaits its commit, and the task that is to"
+    " move there has stopped"
+)
+def step_room_taken(context: Any) -> None:
+    cluster = context.cluster
+    for worker in cluster.tasks_by_worker:
+        cluster.report(4.8, worker)
+    cluster.harness.submit("batch", filling_steps.ordinary_step(4000))
+    _propose(context, 4.9)
+    assert [item.worker for item in context.pending[0].assignments] == ["w1"]
+    assert MOVED_TASK in cluster.stops(5.0)
+    _stop_moved_task(context, 5.2)
+    _propose(context, 5.3)
+
+
+@then("the task is not planned before the other one has stopped")
+def step_not_planned(context: Any) -> None:
+    planned = [
+        item.task for command in context.pending for item in command.assignments
+    ]
+    assert MOVED_TASK not in planned, planned
+
+
+# Runs that are no longer wanted.
+
+
+def _limited_step() -> model.StepSpec:
+    return model.StepSpec(
+        2, commands.Resources(1000, 10, 0), 1000, max_per_worker=1
+    )
+
+
+def _assignment(index: int, run: int, worker: str) -> log_commands.AssignTasks:
+    task = model.format_task_id(model.JobId("0a"), 0, 0, index)
+    return log_commands.AssignTasks(
+        (log_commands.Assignment(task, run, model.WorkerId(worker), 1),)
+    )
+
+
+@given("a worker that runs a task of a step with a limit of 1 per worker")
+def step_run_of_limited_step(context: Any) -> None:
+    context.harness = filling_steps.DispatcherHarness()
+    context.harness.report(0.0, "w", 16_000)
+    context.harness.submit("0a", _limited_step())
+    context.task = model.TaskId("0a.0.0.0")
+    context.run = 1
+
+
+@when("{event}, and the worker still reports the run")
+def step_run_unwanted(context: Any, event: str) -> None:
+    harness = context.harness
+    if event == "an earlier run of the task has ended as done":
+        harness.commit(_assignment(0, 1, "earlier"))
+        lost = log_commands.RunEnd(
+            context.task, 1, model.WorkerId("earlier"), 1, model.Outcome.LOST
+        )
+        harness.commit(log_commands.EndRuns((lost,)))
+        harness.commit(_assignment(0, 2, "w"))
+        context.run = 2
+        done = log_commands.RunEnd(
+            context.task, 1, model.WorkerId("earlier"), 1, model.Outcome.DONE
+        )
+        harness.commit(log_commands.EndRuns((done,)))
+    else:
+        harness.commit(_assignment(0, 1, "w"))
+        left = requests.WorkerLeft(model.WorkerId("w"), 0)
+        for command in harness.dispatcher.on_left(harness.state, left):
+            harness.commit(command)
+    running = (requests.ActiveRun(context.task, context.run, "", 50),)
+    harness.report(0.2, "w", 16_000, running)
+    context.assignments = harness.plan(0.3)
+
+
+@then("no task of the step is planned for the worker until the run has stopped")
+def step_planned_after_stop(context: Any) -> None:
+    assert not context.assignments, context.assignments
+    end = requests.EndedRun(
+        1, context.task, context.run, model.Outcome.STOPPED, ""
+    )
+    context.harness.report(0.4, "w", 16_000, (), (end,))
+    planned = context.harness.plan(0.5)
+    assert [item.worker for item in planned] == ["w"], planned
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -69,6 +69,7 @@
         incarnation: int = 1,
         service: model.ServiceName = SERVICE,
         rack: str = "r",
+        labels: tuple[str, ...] = (),
     ) -> requests.Orders:
         """Handles a worker's report; returns the orders that answer it."""
         self._sequence += 1
@@ -81,7 +82,7 @@
             "z",
             worker,
             rack,
-            (),
+            labels,
             commands.Resources(millicores, 100_000, 0),
             draining,
             0,
--- a/features/steps/serving_moves_steps.py
+++ b/features/steps/serving_moves_steps.py
@@ -33,6 +33,7 @@
     count: int,
     max_unavailable: int = -1,
     max_per_worker: int = 0,
+    required_label: str = "",
 ) -> model.StepSpec:
     return model.StepSpec(
         count,
@@ -42,6 +43,7 @@
         tail_target_ms=150,
         max_unavailable=max_unavailable,
         max_per_worker=max_per_worker,
+        required_label=required_label,
     )
 
 
@@ -120,6 +122,9 @@
         self.percent_by_task: dict[model.TaskId, int] = {}
         self.draining: set[str] = set()
         self.service_by_worker: dict[str, model.ServiceName] = {}
+        self.labels_by_worker: dict[str, tuple[str, ...]] = {}
+        self.incarnation_by_worker: dict[str, int] = {}
+        self.millicores_by_worker: dict[str, int] = {}
         self.run_job("same", _step("a", 3), ["w0"] * 3)
         self.run_job("others", _step("b", 2), ["w1"] * 2)
 
@@ -174,9 +179,11 @@
         return self.harness.report(
             now,
             worker,
-            WORKER_MILLICORES,
+            self.millicores_by_worker.get(worker, WORKER_MILLICORES),
             running,
             draining=worker in self.draining,
+            incarnation=self.incarnation_by_worker.get(worker, 1),
+            labels=self.labels_by_worker.get(worker, ()),
             service=self.service_by_worker.get(worker, filling_steps.SERVICE),
         )
 
