Hold the limits of a step in one place for every way to assign a task

Callers saw: two tasks of a step with max_per_worker 1 on one worker; a moved task on a worker without its label or in another service. Cause: a moved task was assigned by the limit of the applied assignments. The assignment of another task of its step, which awaited its commit, did not count, nor did a worker that was reserved for a move. Label and service were checked when the move began; the worker may have restarted as another kind since. Change: assignment_limits decides where the tasks of a step may run. Assigned tasks and reservations count. Planner._assign makes every assignment, checks it there, and logs and counts what it refuses by reason (event "assignment refused"). The search and the choice of a move use the same functions. Reservations are a module. In "the other task was put there" a run was ended as lost while its worker was last heard of running it; the worker now reports without it first.

--- a/features/steps/serving_moves_steps.py
+++ b/features/steps/serving_moves_steps.py
@@ -148,9 +148,11 @@
             self.percent_by_task[task] = 100
 
     def move_by_hand(
-        self, task: model.TaskId, source: str, target: str
+        self, now: float, task: model.TaskId, source: str, target: str
     ) -> None:
         """Ends a task's first run as lost and assigns the second one."""
+        self.tasks_by_worker[source].remove(task)
+        self.report(now, source)
         end = log_commands.RunEnd(
             task, 1, model.WorkerId(source), 1, model.Outcome.LOST
         )
@@ -305,7 +307,8 @@
     elif event == "its job is cancelled":
         cluster.harness.commit(log_commands.CancelJob(model.JobId("odd")))
     elif event == "the other task was put there":
-        cluster.move_by_hand(model.TaskId("odd.0.0.1"), "w2", "w1")
+        other = model.TaskId("odd.0.0.1")
+        cluster.move_by_hand(STOPPED_AT_S, other, "w2", "w1")
     context.assigned = cluster.harness.plan(assigned_at)
 
 
--- a/fulmarrouter/cluster/colocation.py
+++ b/fulmarrouter/cluster/colocation.py
@@ -77,7 +77,7 @@
 
 
 def rack_in_use(
-    fleet: fleet_lib.Fleet, count_by_worker: Mapping[str, int]
+    fleet: fleet_lib.Fleet, count_by_worker: Mapping[model.WorkerId, int]
 ) -> str:
     """Returns the rack on which most of a step's tasks run.
 
@@ -90,7 +90,7 @@
     """
     count_by_rack: dict[str, int] = {}
     for worker, count in count_by_worker.items():
-        view = fleet.view_by_id.get(model.WorkerId(worker))
+        view = fleet.view_by_id.get(worker)
         if view is not None:
             rack = view.report.rack
             count_by_rack[rack] = count_by_rack.get(rack, 0) + count
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -74,7 +74,9 @@
         self.interference = interference_control.InterferenceController(
             settings.restore_s
         )
-        self.planner = planner_lib.Planner(self.fleet, self.interference)
+        self.planner = planner_lib.Planner(
+            self.fleet, self.interference, self._decisions
+        )
         self._serving_mover = self._make_serving_mover()
         self._job_retention = job_retention.JobRetention(
             settings.job_retention_s
@@ -106,7 +108,9 @@
         self.interference = interference_control.InterferenceController(
             self._settings.restore_s, state.effect_by_images.values()
         )
-        self.planner = planner_lib.Planner(self.fleet, self.interference)
+        self.planner = planner_lib.Planner(
+            self.fleet, self.interference, self._decisions
+        )
         self.planner.restore_job_ages(now, state, wall_ms)
         self._job_retention = job_retention.JobRetention(
             self._settings.job_retention_s
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -108,6 +108,13 @@
         return now - self.last_heard_at <= MAX_REPORT_AGE_S
 
 
+def claimed_resources(spec: model.StepSpec) -> commands.Resources:
+    """Returns what a task claims on a worker; filling ones no processor time."""
+    if not spec.fills:
+        return spec.needs
+    return commands.Resources(0, spec.needs.memory_mb, spec.needs.accelerators)
+
+
 class Fleet:
     """All workers that have reported to the leader."""
 
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -12,6 +12,7 @@
 import heapq
 
 from fulmarrouter import commands
+from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import gaps
 from fulmarrouter.cluster import health
 from fulmarrouter.cluster import interference_model
@@ -129,7 +130,8 @@
             no other fits.
         last_attempts: Tasks whose job fails if they fail once more; they are
             not placed where a task has just failed.
-        count_by_worker: Tasks of the step that are already on a worker.
+        count_by_worker: Tasks of the step that are on a worker or planned for
+            it.
         rack: Rack on which tasks of a colocated step run, or an empty string.
         may_split: Whether a part of a colocated step may be placed; the rest
             follows on the same rack.
@@ -143,7 +145,7 @@
     spec: model.StepSpec
     indices: Sequence[int]
     avoided_by_index: dict[int, str]
-    count_by_worker: dict[str, int]
+    count_by_worker: dict[model.WorkerId, int]
     last_attempts: frozenset[int] = frozenset()
     rack: str = ""
     may_split: bool = False
@@ -311,7 +313,7 @@
         if not candidate.fits(spec.needs, spec.fills):
             return None
         same_step = self._counts.get(candidate.worker, 0)
-        if spec.max_per_worker and same_step >= spec.max_per_worker:
+        if assignment_limits.is_at_limit(spec, same_step):
             return None
         scores = self._scorer.score(candidate, same_step)
         if scores is None:
@@ -345,7 +347,7 @@
     eligible = [
         candidate
         for candidate in candidates
-        if not spec.required_label or spec.required_label in candidate.labels
+        if assignment_limits.has_label(spec, candidate.labels)
     ]
     if not spec.colocate:
         return _place_tasks(eligible, demand, scorer)
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -5,17 +5,22 @@
 come before that and must not assign the task again.
 """
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 
+from fulmarrouter import commands
+from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import capacity_index
 from fulmarrouter.cluster import colocation
+from fulmarrouter.cluster import decision_log
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import interference_control
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import ordering
 from fulmarrouter.cluster import placement
+from fulmarrouter.cluster import reservations as reservations_lib
 from fulmarrouter.cluster import search_cache
 from fulmarrouter.cluster import state as state_lib
 
@@ -50,26 +55,24 @@
     Args:
         fleet: The workers, as last reported.
         interference: Limits the interference of tasks on the same worker.
+        decisions: Receives the decisions to be logged.
     """
 
     def __init__(
         self,
         fleet: fleet_lib.Fleet,
         interference: interference_control.InterferenceController,
+        decisions: decision_log.DecisionBuffer | None = None,
     ) -> None:
         self._fleet = fleet
         self._interference = interference
+        self._decisions = decisions or decision_log.DecisionBuffer()
+        self._reservations = reservations_lib.Reservations(fleet)
         self._capacity_index = capacity_index.CapacityIndex(
-            fleet, interference, self.reservations_of
+            fleet, interference, self._reservations.specs_on
         )
         self._search_cache = search_cache.SearchCache()
         self._colocation_waits = colocation.ColocationWaits()
-        self._reserved_by_worker: dict[
-            model.WorkerId, dict[model.TaskId, model.StepSpec]
-        ] = {}
-        self._worker_by_reserved: dict[model.TaskId, model.WorkerId] = {}
-        # Tasks that are being moved to the worker that is reserved for them.
-        self._moving: set[model.TaskId] = set()
         self._next_round_at = 0.0
         self._first_seen_by_job: dict[model.JobId, float] = {}
 
@@ -93,7 +96,7 @@
     def on_assigned(self, command: log_commands.AssignTasks) -> None:
         """Drops the reservations of assignments that have been applied."""
         for item in command.assignments:
-            self.release(item.task)
+            self._reservations.remove(item.task)
 
     def reserve(
         self,
@@ -105,32 +108,49 @@
 
         The task is assigned to it as soon as it waits.
         """
-        self._moving.add(task)
-        self._add_reservation(task, worker, spec)
-        self._fleet.mark_changed(worker)
+        self._reservations.add(
+            reservations_lib.Reservation(task, worker, spec, is_proposed=False)
+        )
+
+    def cancel_move(self, task: model.TaskId) -> None:
+        """Gives up the move of a task that has not been assigned yet."""
+        self._reservations.cancel_move(task)
 
     def moving_tasks(self) -> Iterator[tuple[model.TaskId, model.WorkerId]]:
         """Yields the tasks that are being moved and their new workers."""
-        for task in self._moving:
-            yield task, self._worker_by_reserved[task]
-
-    def release(self, task: model.TaskId) -> None:
-        """Drops the reservation of a task, if it has one."""
-        self._moving.discard(task)
-        worker = self._worker_by_reserved.pop(task, None)
-        if worker is None:
-            return
-        reserved = self._reserved_by_worker[worker]
-        del reserved[task]
-        if not reserved:
-            del self._reserved_by_worker[worker]
-        self._fleet.mark_changed(worker)
-
-    def reservations_of(
-        self, worker: model.WorkerId
-    ) -> Iterator[model.StepSpec]:
-        """Yields the steps of the tasks for which a worker is reserved."""
-        return iter(self._reserved_by_worker.get(worker, {}).values())
+        for item in self._reservations.moving():
+            yield item.task, item.worker
+
+    def unreserved_resources(
+        self, view: fleet_lib.WorkerView
+    ) -> commands.Resources:
+        """Returns what neither runs nor planned ones claim on a worker.
+
+        The usage of the worker must be up to date.
+        """
+        return _subtract_claims(
+            view, self._reservations.specs_on(view.key.worker)
+        )
+
+    def workers_at_limit(
+        self, state: state_lib.State, key: state_lib.StepKey
+    ) -> frozenset[model.WorkerId]:
+        """Returns the workers that may not run another task of the step."""
+        spec = state.spec_of(key)
+        if not spec.max_per_worker:
+            return frozenset()
+        return frozenset(
+            worker
+            for worker, tasks in self._count_by_worker(state, key).items()
+            if assignment_limits.is_at_limit(spec, tasks)
+        )
+
+    def _count_by_worker(
+        self, state: state_lib.State, key: state_lib.StepKey
+    ) -> dict[model.WorkerId, int]:
+        return assignment_limits.count_by_worker(
+            state, self._reservations.of_step(key), key
+        )
 
     def forget_jobs(self, state: state_lib.State) -> None:
         """Drops the ages of ended jobs and the searches of closed steps."""
@@ -271,45 +291,90 @@
             self._search_cache.record_failure(
                 search, self._capacity_index.version, applies_to_kind
             )
-        return self._reserve_and_assign(state, search.key, chosen), checks
+        if demand is None or not chosen:
+            return [], checks
+        return self._assign_chosen(state, search, demand, chosen), checks
 
     def _is_past_starvation_age(self, now: float, job: model.JobId) -> bool:
         return now - self._first_seen_by_job.get(job, now) > STARVATION_AGE_S
 
-    def _reserve_and_assign(
+    def _assign_chosen(
         self,
         state: state_lib.State,
-        key: state_lib.StepKey,
+        search: search_cache.Search,
+        demand: placement.Demand,
         chosen: list[tuple[int, placement.CandidateWorker]],
     ) -> list[log_commands.Assignment]:
-        """Reserves the workers; all tasks of a gang get the same run number."""
-        if not chosen:
-            return []
+        """Assigns tasks to the workers that a search has chosen.
+
+        All tasks of a gang get the same run number.
+        """
+        key = search.key
         step = state.open_steps[key]
-        spec = state.spec_of(key)
+        counts = dict(demand.count_by_worker)
         gang_run = 0
-        if spec.gang:
+        if search.spec.gang:
             gang_run = 1 + max(task.run for task in step.tasks)
         assignments = []
         for index, candidate in chosen:
-            assignment = log_commands.Assignment(
-                model.format_task_id(key.job, key.occurrence, key.step, index),
-                gang_run or step.tasks[index].run + 1,
-                candidate.worker,
-                candidate.incarnation,
+            assignment = self._assign(
+                search,
+                log_commands.Assignment(
+                    model.format_task_id(
+                        key.job, key.occurrence, key.step, index
+                    ),
+                    gang_run or step.tasks[index].run + 1,
+                    candidate.worker,
+                    candidate.incarnation,
+                ),
+                counts,
             )
-            self._add_reservation(assignment.task, assignment.worker, spec)
-            assignments.append(assignment)
+            if assignment is not None:
+                assignments.append(assignment)
+        if search.spec.gang and len(assignments) < len(chosen):
+            for assignment in assignments:
+                self._reservations.remove(assignment.task)
+            return []
         return assignments
 
-    def _add_reservation(
+    def _assign(
         self,
-        task: model.TaskId,
-        worker: model.WorkerId,
-        spec: model.StepSpec,
-    ) -> None:
-        self._worker_by_reserved[task] = worker
-        self._reserved_by_worker.setdefault(worker, {})[task] = spec
+        search: search_cache.Search,
+        assignment: log_commands.Assignment,
+        count_by_worker: dict[model.WorkerId, int],
+    ) -> log_commands.Assignment | None:
+        """Reserves the worker of an assignment, unless it may not run the task.
+
+        Every assignment is made here. What it may not exceed is checked with all
+        that is assigned, planned, or being stopped.
+
+        Args:
+            search: The step of the task.
+            assignment: The assignment.
+            count_by_worker: Tasks of the step on each worker; updated.
+        """
+        worker = assignment.worker
+        refusal = assignment_limits.refusal(
+            search.spec,
+            search.service,
+            self._fleet.view_by_id[worker],
+            count_by_worker.get(worker, 0),
+        )
+        if refusal is not None:
+            self._decisions.add(
+                "assignment refused",
+                task=assignment.task,
+                worker=worker,
+                reason=refusal.value,
+            )
+            return None
+        count_by_worker[worker] = count_by_worker.get(worker, 0) + 1
+        self._reservations.add(
+            reservations_lib.Reservation(
+                assignment.task, worker, search.spec, is_proposed=True
+            )
+        )
+        return assignment
 
     def _assign_moved(
         self, now: float, state: state_lib.State
@@ -319,35 +384,36 @@
         A task whose new worker can't take it any more is placed as any other.
         """
         assignments = []
-        for task_id in list(self._moving):
+        for reservation in self._reservations.moving():
+            task_id = reservation.task
             found = state.find_task(task_id)
             if found is None or not found[0].is_active:
-                self.release(task_id)
+                self.cancel_move(task_id)
                 continue
-            job, key, step, task = found
-            spec = job.spec.steps[key.step]
+            job, key, _, task = found
             if task.phase is not model.TaskPhase.WAITING:
                 continue
-            worker = self._worker_by_reserved[task_id]
-            view = self._fleet.view_by_id.get(worker)
-            if (
-                view is None
-                or view.report.draining
-                or not view.is_fresh(now)
-                or worker in step.workers_at_limit(spec)
-            ):
-                self.release(task_id)
+            view = self._fleet.view_by_id.get(reservation.worker)
+            if view is None or view.report.draining or not view.is_fresh(now):
+                self.cancel_move(task_id)
                 continue
             self._fleet.refresh_usage(state, view)
-            if not spec.needs.fits_in(view.free_resources()):
+            if not reservation.spec.needs.fits_in(view.free_resources()):
                 # The task with which it changes places has not ended yet.
                 continue
-            self._moving.remove(task_id)
-            assignments.append(
+            self.cancel_move(task_id)
+            assignment = self._assign(
+                search_cache.Search(key, job.queue.service, reservation.spec),
                 log_commands.Assignment(
-                    task_id, task.run + 1, worker, view.key.incarnation
-                )
+                    task_id,
+                    task.run + 1,
+                    reservation.worker,
+                    view.key.incarnation,
+                ),
+                self._count_by_worker(state, key),
             )
+            if assignment is not None:
+                assignments.append(assignment)
         return assignments
 
     def _order_steps(
@@ -380,27 +446,19 @@
         indices: list[int] = []
         avoided_by_index: dict[int, str] = {}
         last_attempts: set[int] = set()
-        count_by_worker: dict[str, int] = {}
+        reserved_by_index = self._reservations.of_step(key)
         for index, task in enumerate(step.tasks):
-            if task.phase is model.TaskPhase.ASSIGNED:
-                count_by_worker[task.worker] = (
-                    count_by_worker.get(task.worker, 0) + 1
-                )
-            elif task.phase is model.TaskPhase.WAITING:
-                waiting_task_id = model.format_task_id(
-                    key.job, key.occurrence, key.step, index
-                )
-                worker = self._worker_by_reserved.get(waiting_task_id)
-                if worker is not None:
-                    count_by_worker[worker] = count_by_worker.get(worker, 0) + 1
-                    continue
-                if search.only_interrupted and not task.run:
-                    continue
-                indices.append(index)
-                if task.worker:
-                    avoided_by_index[index] = task.worker
-                if ordering.is_last_attempt(task, job.queue.max_attempts):
-                    last_attempts.add(index)
+            if (
+                task.phase is not model.TaskPhase.WAITING
+                or index in reserved_by_index
+                or (search.only_interrupted and not task.run)
+            ):
+                continue
+            indices.append(index)
+            if task.worker:
+                avoided_by_index[index] = task.worker
+            if ordering.is_last_attempt(task, job.queue.max_attempts):
+                last_attempts.add(index)
         if spec.gang and len(indices) < len(step.tasks) - step.done_count:
             indices = []
         if not (spec.gang or spec.colocate):
@@ -409,7 +467,7 @@
             spec,
             indices,
             avoided_by_index,
-            count_by_worker,
+            self._count_by_worker(state, key),
             frozenset(last_attempts),
             is_starved=search.is_starved,
             protected_from_millicores=search.protected_from_millicores,
@@ -434,3 +492,13 @@
             may_split=waits.may_split(now, search.key),
             may_span_racks=may_span_racks,
         )
+
+
+def _subtract_claims(
+    view: fleet_lib.WorkerView, specs: Iterable[model.StepSpec]
+) -> commands.Resources:
+    """Returns a worker's free resources without the claims of more tasks."""
+    free = view.free_resources()
+    for spec in specs:
+        free = free.minus(fleet_lib.claimed_resources(spec))
+    return free
--- a/fulmarrouter/cluster/serving_arrangement.py
+++ b/fulmarrouter/cluster/serving_arrangement.py
@@ -15,6 +15,7 @@
 import itertools
 
 from fulmarrouter import commands
+from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import model
 
 # Least gain of a move, as a share of the capacity of the worker that the task
@@ -241,7 +242,7 @@
     return (
         item.service == target.service
         and spec.needs.fits_in(free)
-        and (not spec.required_label or spec.required_label in target.labels)
+        and assignment_limits.has_label(spec, target.labels)
         and spec.preferred_rack in ("", target.rack)
         and target.worker not in item.workers_at_limit
     )
--- a/fulmarrouter/cluster/serving_moves.py
+++ b/fulmarrouter/cluster/serving_moves.py
@@ -138,7 +138,7 @@
             if is_over:
                 del self._move_by_job[job_id]
                 if found is None or found[3].run == move.run:
-                    self._planner.release(move.task)
+                    self._planner.cancel_move(move.task)
         self._moved_at_by_task = {
             task: moved_at
             for task, moved_at in self._moved_at_by_task.items()
@@ -161,16 +161,12 @@
             ):
                 continue
             self._fleet.refresh_usage(state, view)
-            free = view.free_resources()
-            for spec in self._planner.reservations_of(view.key.worker):
-                if not spec.fills:
-                    free = free.minus(spec.needs)
             hosts.append(
                 serving_arrangement.Host(
                     view.key.worker,
                     view.report.service,
                     view.report.capacity.millicores,
-                    free,
+                    self._planner.unreserved_resources(view),
                     view.report.labels,
                     view.report.rack,
                     view.serving_count_by_image,
@@ -229,7 +225,7 @@
                     job.id,
                     job.queue.service,
                     spec,
-                    frozenset(step.workers_at_limit(spec)),
+                    self._planner.workers_at_limit(state, key),
                 )
             )
         return movable
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -5,7 +5,6 @@
 jobs are maintained with each command and rebuilt when a snapshot is loaded.
 """
 
-import collections
 from collections.abc import Callable
 import enum
 from typing import Any
@@ -76,21 +75,6 @@
         """Whether every task is done."""
         return self.done_count == len(self.tasks)
 
-    def workers_at_limit(self, spec: model.StepSpec) -> set[model.WorkerId]:
-        """Returns the workers that may not run another task of the step."""
-        if not spec.max_per_worker:
-            return set()
-        counts = collections.Counter(
-            task.worker
-            for task in self.tasks
-            if task.phase is model.TaskPhase.ASSIGNED
-        )
-        return {
-            model.WorkerId(worker)
-            for worker, count in counts.items()
-            if count >= spec.max_per_worker
-        }
-
 
 class Job(msgspec.Struct, array_like=True):
     """An accepted job.
