Keep the reservation of a moved task while its assignment awaits its commit

Callers saw: nothing yet; a scenario shows a task that is planned a second time and another task of its step planned for the worker it is committed to. Cause: a move that took longer than 3 s was given up, and the reservation of its new worker dropped, although the assignment had been proposed. Until it was applied the task counted nowhere. A commit on a slow disk, or a stop near the limit, is enough. Change: only a reservation that hasn't been proposed can be dropped that way. Evidence: "The commit of a moved task's assignment takes longer than a move may" failed before and passes.

--- a/fulmarrouter/cluster/reservations.py
+++ b/fulmarrouter/cluster/reservations.py
@@ -78,8 +78,9 @@
         self._fleet.mark_changed(reservation.worker)
 
     def cancel_move(self, task: model.TaskId) -> None:
-        """Drops the reservation of a task that is being moved."""
-        self.remove(task)
+        """Drops the reservation of a task, unless it has been proposed."""
+        if task in self._moving:
+            self.remove(task)
 
     def moving(self) -> list[Reservation]:
         """Returns the reservations that have not been proposed."""
