Count planned tasks when a moved task is assigned to a full worker

Callers saw: nothing yet; on a worker that doesn't guard its capacity a start would exceed it (LIMIT), on others it is refused. Cause: a task that changes places with another was assigned by the free capacity of the applied assignments, before the other one had stopped, into capacity that an assignment awaiting its commit had taken. Change: proposed assignments are subtracted. Evidence: "Two tasks change places while an assignment to one of the workers awaits its commit" failed before and passes.

--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -398,7 +398,10 @@
                 self.cancel_move(task_id)
                 continue
             self._fleet.refresh_usage(state, view)
-            if not reservation.spec.needs.fits_in(view.free_resources()):
+            free = _subtract_claims(
+                view, self._reservations.proposed_specs_on(reservation.worker)
+            )
+            if not reservation.spec.needs.fits_in(free):
                 # The task with which it changes places has not ended yet.
                 continue
             self.cancel_move(task_id)
--- a/fulmarrouter/cluster/reservations.py
+++ b/fulmarrouter/cluster/reservations.py
@@ -95,6 +95,14 @@
         for item in self._by_task_by_worker.get(worker, {}).values():
             yield item.spec
 
+    def proposed_specs_on(
+        self, worker: model.WorkerId
+    ) -> Iterator[model.StepSpec]:
+        """Yields the steps of the tasks whose assignment has been proposed."""
+        for item in self._by_task_by_worker.get(worker, {}).values():
+            if item.is_proposed:
+                yield item.spec
+
 
 def _locate(task: model.TaskId) -> tuple[state_lib.StepKey, int]:
     parts = model.parse_task_id(task)
