Count runs that are no longer wanted until they have stopped

Callers saw: nothing yet; two scenarios show a task that is assigned to a worker on which another task of its step, or the same one, still runs. Cause: the limit counted tasks by their phase. A task that is done by the late end of an earlier run has a later one that goes on until it is stopped; a worker that is said to have left without an incarnation, and has not, runs what the state has ended. Neither counted for the limit, the latter not for the capacity either. Change: a run counts for both until the worker no longer reports it. Evidence: two rows of "A run is no longer wanted" failed before and pass.

--- a/fulmarrouter/cluster/assignment_limits.py
+++ b/fulmarrouter/cluster/assignment_limits.py
@@ -58,24 +58,54 @@
 
 def count_by_worker(
     state: state_lib.State,
+    fleet: fleet_lib.Fleet,
     reserved_by_index: Mapping[int, reservations_lib.Reservation],
     key: state_lib.StepKey,
 ) -> dict[model.WorkerId, int]:
     """Counts the tasks of a step that are, or may soon be, on each worker.
 
-    Those are the assigned ones and the planned ones.
+    Those are the assigned ones, the planned ones, and runs that are no longer
+    wanted but have not stopped.
 
     Args:
         state: The replicated state.
+        fleet: The workers, as last reported.
         reserved_by_index: Reservations of the step's tasks.
         key: The step.
     """
     step = state.find_step(key)
     assert step is not None
     counts: collections.Counter[model.WorkerId] = collections.Counter()
-    for task in step.tasks:
-        if task.phase is model.TaskPhase.ASSIGNED:
+    is_limited = bool(state.spec_of(key).max_per_worker)
+    for index, task in enumerate(step.tasks):
+        if task.phase is model.TaskPhase.ASSIGNED or (
+            is_limited and _is_still_assigned(state, key, index, task)
+        ):
             counts[model.WorkerId(task.worker)] += 1
     for reservation in reserved_by_index.values():
         counts[reservation.worker] += 1
+    for view in fleet.views_with_unassigned_runs():
+        for task_id in view.unassigned_runs:
+            found = state.find_task(task_id)
+            if found is not None and found[1] == key:
+                counts[view.key.worker] += 1
     return dict(counts)
+
+
+def _is_still_assigned(
+    state: state_lib.State,
+    key: state_lib.StepKey,
+    index: int,
+    task: state_lib.Task,
+) -> bool:
+    """Whether a run of a task that is done has not ended.
+
+    A task may be done by the end of an earlier run.
+    """
+    if task.phase is not model.TaskPhase.DONE:
+        return False
+    worker_key = state_lib.WorkerKey(
+        model.WorkerId(task.worker), task.incarnation
+    )
+    task_id = model.format_task_id(key.job, key.occurrence, key.step, index)
+    return state.runs_by_worker.get(worker_key, {}).get(task_id) == task.run
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -1,6 +1,8 @@
 """The leader's view of the workers, from their reports. Not replicated."""
 
+from collections.abc import Iterator
 import dataclasses
+import itertools
 
 from fulmarrouter import commands
 from fulmarrouter.cluster import gaps
@@ -40,8 +42,11 @@
         ended: Runs that it has reported as ended and that the replicated state
             still contains.
         running: Runs that it last reported as running.
-        used: Resources claimed by assigned runs; filling runs claim no
-            processor time. Valid if `is_usage_stale` is false.
+        used: Resources claimed by assigned and unassigned runs; filling runs
+            claim no processor time. This and the next fields are valid if
+            `is_usage_stale` is false.
+        unassigned_runs: Runs that it reports as running although the state
+            has ended them. They are being stopped.
         stop_requested: Runs that it is told to stop although their tasks are
             still to be done.
         backoff_until: The worker gets no new tasks before this time, since it
@@ -66,6 +71,9 @@
         default_factory=dict
     )
     used: commands.Resources = NO_RESOURCES
+    unassigned_runs: dict[model.TaskId, int] = dataclasses.field(
+        default_factory=dict
+    )
     filling_share_by_image: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
@@ -100,7 +108,7 @@
         return known is not None and known.run == run
 
     def free_resources(self) -> commands.Resources:
-        """Returns the resources that no assigned run claims."""
+        """Returns the resources that no run claims."""
         return self.report.capacity.minus(self.used)
 
     def is_fresh(self, now: float) -> bool:
@@ -121,6 +129,7 @@
     def __init__(self) -> None:
         self.view_by_id: dict[model.WorkerId, WorkerView] = {}
         self._changed: dict[model.WorkerId, None] = {}  # Ordered set.
+        self._workers_with_unassigned_runs: set[model.WorkerId] = set()
 
     def mark_changed(self, worker: model.WorkerId) -> None:
         """Marks a worker's capacity as possibly changed."""
@@ -139,11 +148,27 @@
         """Drops a worker that has left or is lost."""
         if self.view_by_id.pop(worker, None) is not None:
             self._changed[worker] = None
+            self._workers_with_unassigned_runs.discard(worker)
+
+    def views_with_unassigned_runs(self) -> Iterator[WorkerView]:
+        """Yields the workers that report runs which the state has ended."""
+        for worker in self._workers_with_unassigned_runs:
+            yield self.view_by_id[worker]
 
     def refresh_usage(self, state: state_lib.State, view: WorkerView) -> None:
         """Recomputes the usage of a worker, if it may have changed."""
         if not view.is_usage_stale:
             return
+        assigned = state.runs_by_worker.get(view.key, {})
+        view.unassigned_runs = {
+            task: item.run
+            for task, item in view.running.items()
+            if assigned.get(task) != item.run
+        }
+        if view.unassigned_runs:
+            self._workers_with_unassigned_runs.add(view.key.worker)
+        else:
+            self._workers_with_unassigned_runs.discard(view.key.worker)
         millicores = 0
         memory_mb = 0
         accelerators = 0
@@ -154,7 +179,9 @@
         finite_runs = 0
         ordinary_runs = 0
         count_by_image: dict[str, int] = {}
-        for task, run in state.runs_by_worker.get(view.key, {}).items():
+        for task, run in itertools.chain(
+            assigned.items(), view.unassigned_runs.items()
+        ):
             if view.ended.get(task) == run:
                 continue
             located = state.find_task(task)
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -149,7 +149,7 @@
         self, state: state_lib.State, key: state_lib.StepKey
     ) -> dict[model.WorkerId, int]:
         return assignment_limits.count_by_worker(
-            state, self._reservations.of_step(key), key
+            state, self._fleet, self._reservations.of_step(key), key
         )
 
     def forget_jobs(self, state: state_lib.State) -> None:
