Withdraw the order to stop a task when its move is given up

Callers saw: nothing yet; a scenario shows a serving task that is told to stop after its move was given up. Cause: a move begins only while all tasks of the step are at work. If the worker is silent, the move is given up after 3 s, but the request to stop the run stayed and was sent when the worker was heard again. Others of the step may be away by then (max_unavailable). Evidence: "A move is given up before its task has been told to stop" failed before and passes.

--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -48,3 +48,10 @@
       | event                                         |
       | an earlier run of the task has ended as done  |
       | another process has said that the worker left |
+
+  # Guards against a serving task that is stopped although others of its step are away
+  # by now: the order outlived the move for which it was given.
+  Scenario: A move is given up before its task has been told to stop
+    Given a task that is to move to a worker, and another task of its step
+    When its worker is silent for longer than a move may take
+    Then the task is no longer told to stop
--- a/features/steps/assignment_steps.py
+++ b/features/steps/assignment_steps.py
@@ -100,6 +100,22 @@
         _propose(context, now + 0.05)
 
 
+@when("its worker is silent for longer than a move may take")
+def step_silent_source(context: Any) -> None:
+    cluster = context.cluster
+    for tenth in range(51, 85):
+        now = tenth / 10
+        for worker in ("w1", "w2", "w3"):
+            cluster.report(now, worker)
+        harness = cluster.harness
+        harness.dispatcher.move_serving_tasks(now, harness.state)
+
+
+@then("the task is no longer told to stop")
+def step_not_told_to_stop(context: Any) -> None:
+    assert not context.cluster.report(8.5, "w0").stops
+
+
 @then("each task is planned once, and for a worker of its own")
 def step_workers_of_their_own(context: Any) -> None:
     planned = [
--- a/fulmarrouter/cluster/serving_moves.py
+++ b/fulmarrouter/cluster/serving_moves.py
@@ -39,10 +39,12 @@
 
     Attributes:
         run: The run that is stopped so that the task can move.
+        source: Worker of that run.
     """
 
     task: model.TaskId
     run: int
+    source: model.WorkerId
     started_at: float
 
 
@@ -137,14 +139,23 @@
             )
             if is_over:
                 del self._move_by_job[job_id]
-                if found is None or found[3].run == move.run:
-                    self._planner.cancel_move(move.task)
+                self._give_up(move)
         self._moved_at_by_task = {
             task: moved_at
             for task, moved_at in self._moved_at_by_task.items()
             if now - moved_at < MOVE_COOLDOWN_S
         }
 
+    def _give_up(self, move: _Move) -> None:
+        """Drops what is left of a move: its reservation and its stop request.
+
+        Later, other tasks of the step may be away when the worker is heard again.
+        """
+        self._planner.cancel_move(move.task)
+        view = self._fleet.view_by_id.get(move.source)
+        if view is not None and view.stop_requested.get(move.task) == move.run:
+            del view.stop_requested[move.task]
+
     def _hosts(
         self, now: float, state: state_lib.State
     ) -> list[serving_arrangement.Host]:
@@ -269,7 +280,9 @@
         self._planner.reserve(task_id, transfer.target, transfer.item.spec)
         view = self._fleet.view_by_id[transfer.source]
         view.stop_requested[task_id] = task.run
-        self._move_by_job[job.id] = _Move(task_id, task.run, now)
+        self._move_by_job[job.id] = _Move(
+            task_id, task.run, transfer.source, now
+        )
         self._moved_at_by_task[task_id] = now
         self._decisions.add(
             "serving task moved",
