Sync the log when a data folder is loaded

Callers would see: an acknowledged command that is lost with a power loss. Cause: a process that was killed between a write and its sync leaves records that only the operating system holds. The next process read them from there and counted them as durable. Change: the log is synced when it is opened. Evidence: "What an earlier process wrote is synced before it is used" found no sync before, and passes.

--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -247,6 +247,23 @@
     assert found == context.record_count + 1, found
 
 
+@behave.when("the data folder is loaded by another process")
+def load_again(context: Any) -> None:
+    context.synced_inodes = []
+
+    def record_sync(descriptor: int) -> None:
+        context.synced_inodes.append(os.fstat(descriptor).st_ino)
+
+    with mock.patch.object(os, "fdatasync", side_effect=record_sync):
+        storage.Storage(context.folder / "data").load()
+
+
+@behave.then("the log is synced before it is used")
+def log_is_synced(context: Any) -> None:
+    inode = context.log_path.stat().st_ino
+    assert inode in context.synced_inodes, context.synced_inodes
+
+
 @behave.when("{examples:d} random logs are truncated at random places")
 def truncate_random_logs(context: Any, examples: int) -> None:
     folder_numbers = iter(range(10_000))
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -35,6 +35,13 @@
     Then the log holds one more record than before
     And loading the data folder gives 4 entries
 
+  # Guards against a record that is acknowledged and lost with the next power loss: a
+  # process that was killed may have written it without a sync.
+  Scenario: What an earlier process wrote is synced before it is used
+    Given a log of 3 synced records
+    When the data folder is loaded by another process
+    Then the log is synced before it is used
+
   Scenario: A truncated log loads as a prefix of its entries
     When 60 random logs are truncated at random places
     Then each loads as a prefix of what was written
--- a/fulmarrouter/storage.py
+++ b/fulmarrouter/storage.py
@@ -256,6 +256,8 @@
         self._log_descriptor = os.open(
             self.folder / LOG_FILE_NAME, flags, 0o600
         )
+        # A process that was killed may have written records without a sync.
+        os.fdatasync(self._log_descriptor)
         self._sync_folder()
         self._synced_size = os.fstat(self._log_descriptor).st_size
 
