Name every change that needs a restart until the process restarts

Cause: each reading was compared with the one before instead of the settings that the process had started with. Evidence: "A change that needs a restart is followed by another one" failed before and passes.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -63,6 +63,14 @@
       | truncated text | with a signal    | old   | settings not taken |
       | another role   | without a signal | old   | settings not taken |
 
+  # Guards against an operator who takes a change for effective that is not: a later
+  # change of something else no longer named it.
+  Scenario: A change that needs a restart is followed by another one
+    Given a settings file that is watched
+    When it changes to another host, with a signal
+    And it changes to another host and other seeds, with a signal
+    Then the log names host as a change that needs a restart
+
   Scenario: Three processes form a quorum, run a job, and continue after their leader is killed
     Given 3 processes of a cluster with disks and 1 without
     And an operator's configuration and 2 fake workers
--- a/features/steps/settings_reload_steps.py
+++ b/features/steps/settings_reload_steps.py
@@ -25,6 +25,9 @@
 TEXT_BY_CHANGE = {
     "other seeds": SETTINGS.replace("[127.0.0.1:7003]", "[127.0.0.2:7003]"),
     "another host": SETTINGS.replace("host: 127.0.0.1", "host: 127.0.0.3"),
+    "another host and other seeds": SETTINGS.replace(
+        "host: 127.0.0.1", "host: 127.0.0.3"
+    ).replace("[127.0.0.1:7003]", "[127.0.0.2:7003]"),
     "truncated text": SETTINGS[:-4],
     "another role": SETTINGS.replace("role: node", "role: worker"),
 }
@@ -65,3 +68,9 @@
     wanted = "127.0.0.2:7003" if which == "new" else "127.0.0.1:7003"
     assert context.seeds == (wanted,), context.seeds
     assert [item["event"] for item in context.lines] == [line], context.lines
+
+
+@then("the log names {setting} as a change that needs a restart")
+def step_needs_restart(context: Any, setting: str) -> None:
+    (line,) = context.lines
+    assert line["needs_restart"] == setting, line
--- a/fulmarrouter/cluster/settings_watcher.py
+++ b/fulmarrouter/cluster/settings_watcher.py
@@ -28,7 +28,8 @@
     ) -> None:
         self._log = logs.new_logger(task="settings")
         self._path = path
-        self._settings = settings
+        self._started_with = settings
+        self._seeds = settings.seeds
         self._fingerprint = _fingerprint(path)
         self._check_due = 0.0
         self._reload_requested = False
@@ -67,14 +68,13 @@
                 error="the role can't change without a restart",
             )
             return
-        previous = self._settings
-        self._settings = loaded
         self._log.info(
             "settings read",
             seeds=",".join(loaded.seeds),
-            needs_restart=_needs_restart(previous, loaded),
+            needs_restart=_needs_restart(self._started_with, loaded),
         )
-        if loaded.seeds != previous.seeds:
+        if loaded.seeds != self._seeds:
+            self._seeds = loaded.seeds
             on_seeds_changed(loaded.seeds)
 
 
@@ -91,12 +91,12 @@
 
 
 def _needs_restart(
-    before: settings_lib.NodeSettings, after: settings_lib.NodeSettings
+    in_force: settings_lib.NodeSettings, after: settings_lib.NodeSettings
 ) -> str:
     """Returns the changed settings that need a restart, comma-separated."""
     changed = [
         name
-        for name in before.__struct_fields__
-        if name != "seeds" and getattr(before, name) != getattr(after, name)
+        for name in in_force.__struct_fields__
+        if name != "seeds" and getattr(in_force, name) != getattr(after, name)
     ]
     return ",".join(changed)
