Answer that a request may have run if any of its attempts may have

Cause: a retry with less than 5 ms left opens no connection; of the codes of class "not run" only CONNECT_FAILED was kept from hiding the code of an earlier attempt. Change: no code of that class hides the code of an attempt that may have run. Evidence: "The attempts of a request end with CONNECTION_LOST, DEADLINE_PASSED" failed before and passes.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -118,3 +118,17 @@
   Scenario: A fault of all endpoints ejects only some of them
     When all 6 endpoints of a service fail 10 times
     Then at most 2 endpoints are ejected
+
+  # Guards against a request that is said not to have run although an earlier attempt
+  # may have run it.
+  Scenario Outline: The attempts of a request end with <codes>
+    When the attempts of an idempotent request end with <codes>
+    Then the caller is answered <answer>
+
+    Examples:
+      | codes                            | answer          |
+      | CONNECTION_LOST                  | CONNECTION_LOST |
+      | CONNECTION_LOST, CONNECT_FAILED  | CONNECTION_LOST |
+      | CONNECTION_LOST, DEADLINE_PASSED | CONNECTION_LOST |
+      | CONNECT_FAILED, CONNECTION_LOST  | CONNECTION_LOST |
+      | CONNECT_FAILED                   | CONNECT_FAILED  |
--- a/fulmarrouter/proxy.py
+++ b/fulmarrouter/proxy.py
@@ -185,11 +185,11 @@
                 answer = self._attempt(request, slot, deadline, attempt_timeout)
                 return CallResult(codes.Code.DONE, answer, endpoint)
             except _AttemptError as failure:
-                # CONNECT_FAILED means that nothing was run, so it doesn't hide
-                # the code of an attempt that may have been.
+                # An attempt that ran nothing doesn't hide the code of one that
+                # may have.
                 if (
                     last_failure is None
-                    or failure.code is not codes.Code.CONNECT_FAILED
+                    or failure.code.code_class is not codes.CodeClass.NOT_RUN
                 ):
                     last_failure = CallResult(failure.code, endpoint=endpoint)
                 avoid = avoid | {endpoint}
