Start the work of a new leader once it has applied all committed entries

Callers could see: a job on two workers, or shares of an entry granted twice, after an election. Cause: a keeper became active as soon as an entry of its term was committed. It took the deadlines of workers, sessions and endpoints from its state then, in which committed entries were not applied yet. In 20 histories every start of a term was early, by up to 177 entries; the invariants held in them nevertheless. Change: all committed entries must have been applied, as in the cluster's controller. Evidence: "A new leader starts its work once it has applied all committed entries" failed before and passes; features properties, end_to_end and failures pass.

--- a/features/steps/core_steps.py
+++ b/features/steps/core_steps.py
@@ -21,6 +21,7 @@
 from fulmarrouter import commands
 from fulmarrouter import consensus
 from fulmarrouter import errors
+from fulmarrouter import keeper
 from fulmarrouter import messages
 from fulmarrouter import raft_log
 from fulmarrouter import settings as settings_lib
@@ -77,6 +78,38 @@
         context.violation = _run_seeds(kind, first, last)
 
 
+@behave.when(
+    'the starts of terms in "{kind}" histories with seeds from {first:d} to'
+    " {last:d} are recorded"
+)
+def record_term_starts(context: Any, kind: str, first: int, last: int) -> None:
+    context.indexes_at_start = []
+    original = keeper.Keeper._update_role
+
+    def update_role(self: keeper.Keeper, now: float, wall_ms: int) -> None:
+        was_active = self._is_active_leader
+        original(self, now, wall_ms)
+        if self._is_active_leader and not was_active:
+            context.indexes_at_start.append(
+                (self.replica.applied_index, self.replica.commit_index)
+            )
+
+    with mock.patch.object(keeper.Keeper, "_update_role", update_role):
+        context.violation = _run_seeds(kind, first, last)
+
+
+@behave.then("none has preceded a committed entry")
+def no_early_start(context: Any) -> None:
+    early = [
+        (applied, committed)
+        for applied, committed in context.indexes_at_start
+        if applied < committed
+    ]
+    assert context.indexes_at_start
+    assert not early, early
+    assert context.violation is None, context.violation
+
+
 @behave.then("no invariant is broken")
 def no_invariant_broken(context: Any) -> None:
     assert context.violation is None, context.violation
--- a/fulmarrouter/keeper.py
+++ b/fulmarrouter/keeper.py
@@ -188,7 +188,7 @@
         """Follows the replica's role.
 
         A new leader first proposes an entry of its own term, and becomes active
-        once that is committed.
+        once that is committed and everything committed is applied.
         """
         if self.replica.is_leader and self._elected_term != self.replica.term:
             self._reset_leadership()
@@ -200,6 +200,7 @@
         if (
             not self._is_active_leader
             and self.replica.leads_with_committed_entry
+            and self.replica.applied_index >= self.replica.commit_index
         ):
             self._is_active_leader = True
             self._last_decision_index = 0
