Start nothing in the place of an unwanted run before it has stopped

Callers could see: two tasks of a step on one worker, or a worker beyond its capacity, after a change of leader. Cause: a new leader ends runs that nobody wants any more once a report doesn't list them. A task planned in their place was started in the same answer that told the worker to stop the run. Change: while a worker reports runs that the state has ended, it is told to start nothing that exceeds the capacity or the limit of the same step with them. Evidence: both rows of "A late report does not list a run" failed before and pass.

--- /dev/null
+++ b/features/leader_changes.feature
@@ -0,0 +1,18 @@
+Feature: A new leader decides by what may still be in flight from the earlier one
+  Orders of the earlier leader, reports that were sent before them and stops that take
+  their time are not in the state. The scenarios guard against a new leader that
+  takes its first reports for the whole truth.
+
+  # Guards against two tasks of a step, or more than its capacity, on a worker: its
+  # first report to the new leader was sent before the earlier leader's order arrived.
+  Scenario Outline: A late report does not list a run that is no longer wanted, and a task of <step> is planned in its place
+    Given a worker on which an earlier leader has started a run that is no longer wanted
+    And a new leader, to which a report without the run arrives after 3.6 s
+    When a task of <step> is planned for the worker
+    And a later report lists the run
+    Then the worker is told to stop the run, and to start nothing until it has stopped
+
+    Examples:
+      | step                                    |
+      | the same step, with a limit of 1        |
+      | another job, which needs its capacity   |
--- /dev/null
+++ b/features/steps/leader_changes_steps.py
@@ -0,0 +1,98 @@
+"""Steps on what a new leader does while the earlier one's orders are in flight."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps import filling_steps
+from fulmarrouter import commands
+from fulmarrouter.cluster import dispatcher
+from fulmarrouter.cluster import log_commands
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import requests
+
+UNWANTED_TASK = model.TaskId("0a.0.0.0")
+WORKER_MILLICORES = 8000
+
+
+def _end(run: int, worker: str, outcome: model.Outcome) -> log_commands.EndRuns:
+    return log_commands.EndRuns(
+        (
+            log_commands.RunEnd(
+                UNWANTED_TASK, run, model.WorkerId(worker), 1, outcome
+            ),
+        )
+    )
+
+
+def _assign(
+    task: model.TaskId, run: int, worker: str
+) -> log_commands.AssignTasks:
+    return log_commands.AssignTasks(
+        (log_commands.Assignment(task, run, model.WorkerId(worker), 1),)
+    )
+
+
+def _change_leader(
+    harness: filling_steps.DispatcherHarness, now: float
+) -> None:
+    harness.dispatcher = dispatcher.Dispatcher(
+        dispatcher.DispatchSettings(), harness.decision_buffer
+    )
+    harness.dispatcher.start_term(now, harness.state)
+
+
+@given(
+    "a worker on which an earlier leader has started a run that is no longer"
+    " wanted"
+)
+def step_unwanted_run(context: Any) -> None:
+    """The task is done by the late end of an earlier run."""
+    harness = context.harness = filling_steps.DispatcherHarness()
+    needs = commands.Resources(6000, 10, 0)
+    harness.submit("0a", model.StepSpec(2, needs, 1000, max_per_worker=1))
+    harness.commit(_assign(UNWANTED_TASK, 1, "earlier"))
+    harness.commit(_end(1, "earlier", model.Outcome.LOST))
+    harness.commit(_assign(UNWANTED_TASK, 2, "w"))
+    harness.commit(_end(1, "earlier", model.Outcome.DONE))
+
+
+@given("a new leader, to which a report without the run arrives after 3.6 s")
+def step_late_first_report(context: Any) -> None:
+    _change_leader(context.harness, 0.5)
+    context.harness.report(4.1, "w", WORKER_MILLICORES)
+
+
+@when("a task of {step} is planned for the worker")
+def step_planned_in_its_place(context: Any, step: str) -> None:
+    harness = context.harness
+    harness.commit(_end(2, "w", model.Outcome.LOST))
+    task = model.TaskId("0a.0.0.1")
+    if step == "another job, which needs its capacity":
+        harness.submit("0b", filling_steps.ordinary_step(6000))
+        task = model.TaskId("0b.0.0.0")
+    harness.commit(_assign(task, 1, "w"))
+    context.task = task
+
+
+@when("a later report lists the run")
+def step_run_reported(context: Any) -> None:
+    running = (requests.ActiveRun(UNWANTED_TASK, 2, "", 50, 100),)
+    context.orders = context.harness.report(
+        4.3, "w", WORKER_MILLICORES, running
+    )
+
+
+@then(
+    "the worker is told to stop the run, and to start nothing until it has"
+    " stopped"
+)
+def step_stopped_first(context: Any) -> None:
+    orders = context.orders
+    assert [item.task for item in orders.stops] == [UNWANTED_TASK], orders
+    assert not orders.starts, orders
+    end = requests.EndedRun(1, UNWANTED_TASK, 2, model.Outcome.STOPPED, "")
+    orders = context.harness.report(4.5, "w", WORKER_MILLICORES, (), (end,))
+    assert [item.task for item in orders.starts] == [context.task], orders
--- a/fulmarrouter/cluster/assignment_limits.py
+++ b/fulmarrouter/cluster/assignment_limits.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 import enum
 
+from fulmarrouter import commands
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import reservations as reservations_lib
@@ -92,6 +93,31 @@
     return dict(counts)
 
 
+def must_wait_for_stops(
+    state: state_lib.State,
+    view: fleet_lib.WorkerView,
+    key: state_lib.StepKey,
+) -> bool:
+    """Whether a start has to wait until unwanted runs on its worker have stopped.
+
+    The assignment may precede the report that shows such a run. The usage of the
+    worker must be up to date.
+
+    Args:
+        state: The replicated state.
+        view: The worker.
+        key: The step of the task to be started.
+    """
+    if not view.unassigned_runs:
+        return False
+    if not commands.Resources().fits_in(view.free_resources()):
+        return True
+    return bool(state.spec_of(key).max_per_worker) and any(
+        found is not None and found[1] == key
+        for found in map(state.find_task, view.unassigned_runs)
+    )
+
+
 def _is_still_assigned(
     state: state_lib.State,
     key: state_lib.StepKey,
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 
+from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import decision_log
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import interference_control
@@ -490,6 +491,7 @@
         if view is None or view.report is not report:
             return requests.Orders()
         view.lease_until = max(view.lease_until, self._lease_end(now))
+        self.fleet.refresh_usage(state, view)
         budget = order_budget.OrderBudget()
         starts: list[requests.StartOrder] = []
         stops: list[requests.StopOrder] = []
@@ -516,7 +518,11 @@
                 continue
             if view.ended.get(task_id) == run:
                 continue
-            if is_wanted and not view.report.draining:
+            if (
+                is_wanted
+                and not view.report.draining
+                and not assignment_limits.must_wait_for_stops(state, view, key)
+            ):
                 start = requests.StartOrder(
                     task_id, run, job.spec.payload, task.checkpoint
                 )
@@ -537,7 +543,7 @@
             next_report_ms=(
                 order_budget.MORE_ORDERS_REPORT_MS
                 if budget.has_deferred
-                else self._next_report_ms(state, view)
+                else self._next_report_ms(view)
             ),
         )
 
@@ -574,10 +580,7 @@
                 )
         return log_commands.end_runs(ends)
 
-    def _next_report_ms(
-        self, state: state_lib.State, view: fleet_lib.WorkerView
-    ) -> int:
-        self.fleet.refresh_usage(state, view)
+    def _next_report_ms(self, view: fleet_lib.WorkerView) -> int:
         return report_timing.next_report_ms(
             view.free_resources().millicores,
             view.report.capacity.millicores,
