Count a run as absent only some time after its worker's first report

Cause: a run that nobody wants and that a report doesn't list was ended 3 s after the election. The first report of a worker that reaches the new leader may come later than that and still be older than the earlier leader's order to start the run. Change: the 3 s count from the first report of each worker to this leader. By then it has answered the worker, and newer reports have arrived.

--- a/features/leader_changes.feature
+++ b/features/leader_changes.feature
@@ -16,3 +16,17 @@
       | step                                    |
       | the same step, with a limit of 1        |
       | another job, which needs its capacity   |
+
+  # Guards against a run that is taken for over while its worker runs it: the first
+  # report that reaches a new leader may be older than the order to start it.
+  Scenario Outline: An unwanted run is missing from a report <seconds> s after the worker's first one
+    Given a worker on which an earlier leader has started a run that is no longer wanted
+    And a new leader, to which a report without the run arrives after 3.6 s
+    When the run is missing from a report <seconds> s later
+    Then the run is <state>
+
+    Examples:
+      | seconds | state          |
+      | 0       | still assigned |
+      | 2.9     | still assigned |
+      | 3.1     | ended          |
--- a/features/steps/leader_changes_steps.py
+++ b/features/steps/leader_changes_steps.py
@@ -12,6 +12,7 @@
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import state as state_lib
 
 UNWANTED_TASK = model.TaskId("0a.0.0.0")
 WORKER_MILLICORES = 8000
@@ -96,3 +97,22 @@
     end = requests.EndedRun(1, UNWANTED_TASK, 2, model.Outcome.STOPPED, "")
     orders = context.harness.report(4.5, "w", WORKER_MILLICORES, (), (end,))
     assert [item.task for item in orders.starts] == [context.task], orders
+
+
+@when("the run is missing from a report {seconds:g} s later")
+def step_run_missing(context: Any, seconds: float) -> None:
+    harness = context.harness
+    if seconds:
+        harness.report(4.1 + seconds, "w", WORKER_MILLICORES)
+    report = harness.dispatcher.fleet.view_by_id[model.WorkerId("w")].report
+    for command in harness.dispatcher.end_absent_runs(
+        4.1 + seconds, harness.state, report
+    ):
+        harness.commit(command)
+
+
+@then("the run is {which}")
+def step_run_state(context: Any, which: str) -> None:
+    key = state_lib.WorkerKey(model.WorkerId("w"), 1)
+    is_assigned = key in context.harness.state.runs_by_worker
+    assert is_assigned == (which == "still assigned")
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -29,8 +29,9 @@
 # A worker that refused a start gets no new tasks for this long; its next reports
 # show what occupies its capacity.
 REFUSAL_BACKOFF_S = 0.5
-# For this long after an election, a run that is missing from a report is not
-# considered absent: the report may have been sent before the election.
+# For this long after a worker's first report to a leader, a run that is missing from
+# a report is not considered absent: the report may have been sent before the order
+# of an earlier leader arrived.
 ABSENCE_GRACE_S = 3.0
 EXPIRY_CHECK_INTERVAL_S = 0.1
 # Interval at which learned effects are persisted for later leaders. Half of
@@ -82,7 +83,6 @@
         self._job_retention = job_retention.JobRetention(
             settings.job_retention_s
         )
-        self._term_started_at = 0.0
         self._expiry_due = 0.0
         self._summary_due = 0.0
         self._persist_due = 0.0
@@ -118,7 +118,6 @@
         )
         self._serving_mover = self._make_serving_mover()
         self._workers_with_pending_ends = set()
-        self._term_started_at = now
         self._persist_due = now + PERSIST_EFFECTS_INTERVAL_S
         lease_end = self._lease_end(now)
         self._inherited_lease_end_by_worker = dict.fromkeys(
@@ -174,7 +173,9 @@
             if known is not None:
                 self.interference.forget_worker(known.key)
             lease_end = self._inherited_lease_end_by_worker.pop(key, 0.0)
-            view = fleet_lib.WorkerView(key, report, now, lease_end)
+            view = fleet_lib.WorkerView(
+                key, report, now, lease_end, first_heard_at=now
+            )
             self.fleet.view_by_id[report.worker] = view
             self._decisions.add(
                 "worker joined",
@@ -557,7 +558,7 @@
         running and will not be.
         """
         view = self.fleet.view_by_id.get(report.worker)
-        if view is None or now - self._term_started_at < ABSENCE_GRACE_S:
+        if view is None or now - view.first_heard_at < ABSENCE_GRACE_S:
             return []
         ends = []
         for task_id, run in state.runs_by_worker.get(view.key, {}).items():
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -33,6 +33,7 @@
     """One incarnation of a worker.
 
     Attributes:
+        first_heard_at: When its first report reached this leader.
         lease_until: When all runs on the worker have ended at the latest,
             unless it reports again.
         acknowledged_end_number: Reported ends of runs up to this number are
@@ -62,6 +63,7 @@
     report: requests.WorkerReport
     last_heard_at: float
     lease_until: float
+    first_heard_at: float = 0.0
     acknowledged_end_number: int = 0
     pending_acknowledgements: list[tuple[int, int]] = dataclasses.field(
         default_factory=list
