Move no serving task in the first seconds of a leader's term

Owners could see: two tasks of a step stopped at the same time although only one may be unavailable, around a planned change of leader. Cause: which tasks move is known to one leader only. While a task was being stopped, its worker still listed it as ready, so a new leader began to move another one. Change: the first move of a term begins after the time that a move may take. Evidence: "A new leader is elected while a serving task stops to move" failed before and passes.

--- a/features/leader_changes.feature
+++ b/features/leader_changes.feature
@@ -30,3 +30,10 @@
       | 0       | still assigned |
       | 2.9     | still assigned |
       | 3.1     | ended          |
+
+  # Guards against a second task of a step that is stopped to move while the earlier
+  # leader's stop of another one is in progress.
+  Scenario: A new leader is elected while a serving task stops to move
+    Given two tasks of a step, of which an earlier leader moves one
+    When a new leader hears of the workers before the task has stopped
+    Then it moves no other task of the step
--- a/features/steps/leader_changes_steps.py
+++ b/features/steps/leader_changes_steps.py
@@ -7,6 +7,7 @@
 from behave import when
 
 from features.steps import filling_steps
+from features.steps import serving_moves_steps
 from fulmarrouter import commands
 from fulmarrouter.cluster import dispatcher
 from fulmarrouter.cluster import log_commands
@@ -116,3 +117,37 @@
     key = state_lib.WorkerKey(model.WorkerId("w"), 1)
     is_assigned = key in context.harness.state.runs_by_worker
     assert is_assigned == (which == "still assigned")
+
+
+@given("two tasks of a step, of which an earlier leader moves one")
+def step_earlier_move(context: Any) -> None:
+    cluster = context.cluster = serving_moves_steps._Cluster()
+    cluster.learn_effects()
+    cluster.tasks_by_worker["w2"] = []
+    cluster.run_job("like", serving_moves_steps._step("a", 3), ["w2"] * 3)
+    step = serving_moves_steps._step("b", 2, max_unavailable=1)
+    cluster.run_job("odd", step, ["w0", "w2"])
+    assert cluster.stops(5.0) == [serving_moves_steps.MOVED_TASK]
+
+
+@when("a new leader hears of the workers before the task has stopped")
+def step_new_leader_hears(context: Any) -> None:
+    cluster = context.cluster
+    _change_leader(cluster.harness, 5.15)
+    cluster.learn_effects()
+    context.stops = []
+    # The worker that is left alone so far reports first.
+    for now in (5.2, 5.3, 5.4, 5.5):
+        for worker in ("w2", "w1", "w0"):
+            orders = cluster.report(now, worker)
+            context.stops += [stop.task for stop in orders.stops]
+        cluster.harness.dispatcher.move_serving_tasks(
+            now, cluster.harness.state
+        )
+
+
+@then("it moves no other task of the step")
+def step_no_other_move(context: Any) -> None:
+    assert not set(context.stops) - {serving_moves_steps.MOVED_TASK}, (
+        context.stops
+    )
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -79,7 +79,7 @@
         self.planner = planner_lib.Planner(
             self.fleet, self.interference, self._decisions
         )
-        self._serving_mover = self._make_serving_mover()
+        self._serving_mover = self._make_serving_mover(0.0)
         self._job_retention = job_retention.JobRetention(
             settings.job_retention_s
         )
@@ -116,7 +116,7 @@
         self._job_retention = job_retention.JobRetention(
             self._settings.job_retention_s
         )
-        self._serving_mover = self._make_serving_mover()
+        self._serving_mover = self._make_serving_mover(now)
         self._workers_with_pending_ends = set()
         self._persist_due = now + PERSIST_EFFECTS_INTERVAL_S
         lease_end = self._lease_end(now)
@@ -124,12 +124,15 @@
             state.runs_by_worker, lease_end
         )
 
-    def _make_serving_mover(self) -> serving_moves.ServingMover:
+    def _make_serving_mover(
+        self, started_at: float
+    ) -> serving_moves.ServingMover:
         return serving_moves.ServingMover(
             self.fleet,
             self.planner,
             self.interference.effects,
             self._decisions,
+            started_at,
         )
 
     def _lease_end(self, now: float) -> float:
--- a/fulmarrouter/cluster/serving_moves.py
+++ b/fulmarrouter/cluster/serving_moves.py
@@ -56,6 +56,8 @@
         planner: Assigns the moved tasks to their new workers.
         effects: Tells which serving images bear the same filling images.
         decisions: Receives the decisions to be logged.
+        started_at: When the leader's term began. The moves of an earlier leader
+            may go on for some time.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         planner: planner_lib.Planner,
         effects: interference_model.InterferenceModel,
         decisions: decision_log.DecisionBuffer,
+        started_at: float,
     ) -> None:
         self._fleet = fleet
         self._planner = planner
@@ -71,7 +74,7 @@
         self._decisions = decisions
         self._move_by_job: dict[model.JobId, _Move] = {}
         self._moved_at_by_task: dict[model.TaskId, float] = {}
-        self._check_due = 0.0
+        self._check_due = started_at + MOVE_TIMEOUT_S
 
     def run(self, now: float, state: state_lib.State) -> None:
         """Starts the moves that gain enough, if a check is due."""
