Hear a worker of a removed service after a change of leader too

Callers could see: a job that never ends, because its worker's reports were refused. Cause: reports that name no service of the configuration are accepted from known workers only, so that another writer isn't taken for a worker's next incarnation. A new leader knows no workers yet, so it gave such a worker no lease and noted none of its ends. Change: a worker is known too if runs are assigned to its incarnation. Evidence: "A leader is elected after the service of a busy worker was removed" failed before and passes.

--- a/features/leader_changes.feature
+++ b/features/leader_changes.feature
@@ -37,3 +37,10 @@
     Given two tasks of a step, of which an earlier leader moves one
     When a new leader hears of the workers before the task has stopped
     Then it moves no other task of the step
+
+  # Guards against a job that never ends: a new leader refused the reports of a worker
+  # whose service had been removed.
+  Scenario: A leader is elected after the service of a busy worker was removed
+    Given a worker that runs a task and whose service has been removed
+    When a new leader hears that the task is done
+    Then the task's job is done
--- a/features/steps/leader_changes_steps.py
+++ b/features/steps/leader_changes_steps.py
@@ -15,17 +15,13 @@
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
-UNWANTED_TASK = model.TaskId("0a.0.0.0")
+TASK = model.TaskId("0a.0.0.0")
 WORKER_MILLICORES = 8000
 
 
 def _end(run: int, worker: str, outcome: model.Outcome) -> log_commands.EndRuns:
     return log_commands.EndRuns(
-        (
-            log_commands.RunEnd(
-                UNWANTED_TASK, run, model.WorkerId(worker), 1, outcome
-            ),
-        )
+        (log_commands.RunEnd(TASK, run, model.WorkerId(worker), 1, outcome),)
     )
 
 
@@ -55,9 +51,9 @@
     harness = context.harness = filling_steps.DispatcherHarness()
     needs = commands.Resources(6000, 10, 0)
     harness.submit("0a", model.StepSpec(2, needs, 1000, max_per_worker=1))
-    harness.commit(_assign(UNWANTED_TASK, 1, "earlier"))
+    harness.commit(_assign(TASK, 1, "earlier"))
     harness.commit(_end(1, "earlier", model.Outcome.LOST))
-    harness.commit(_assign(UNWANTED_TASK, 2, "w"))
+    harness.commit(_assign(TASK, 2, "w"))
     harness.commit(_end(1, "earlier", model.Outcome.DONE))
 
 
@@ -81,7 +77,7 @@
 
 @when("a later report lists the run")
 def step_run_reported(context: Any) -> None:
-    running = (requests.ActiveRun(UNWANTED_TASK, 2, "", 50, 100),)
+    running = (requests.ActiveRun(TASK, 2, "", 50, 100),)
     context.orders = context.harness.report(
         4.3, "w", WORKER_MILLICORES, running
     )
@@ -93,9 +89,9 @@
 )
 def step_stopped_first(context: Any) -> None:
     orders = context.orders
-    assert [item.task for item in orders.stops] == [UNWANTED_TASK], orders
+    assert [item.task for item in orders.stops] == [TASK], orders
     assert not orders.starts, orders
-    end = requests.EndedRun(1, UNWANTED_TASK, 2, model.Outcome.STOPPED, "")
+    end = requests.EndedRun(1, TASK, 2, model.Outcome.STOPPED, "")
     orders = context.harness.report(4.5, "w", WORKER_MILLICORES, (), (end,))
     assert [item.task for item in orders.starts] == [context.task], orders
 
@@ -151,3 +147,42 @@
     assert not set(context.stops) - {serving_moves_steps.MOVED_TASK}, (
         context.stops
     )
+
+
+def _configure(
+    harness: filling_steps.DispatcherHarness, version: int, service: str
+) -> None:
+    configuration = model.Configuration(
+        version,
+        str(version),
+        b"",
+        (filling_steps.QUEUE,),
+        (),
+        (model.ServiceName(service),),
+    )
+    harness.commit(log_commands.ReplaceConfiguration(configuration))
+
+
+@given("a worker that runs a task and whose service has been removed")
+def step_removed_service(context: Any) -> None:
+    harness = context.harness = filling_steps.DispatcherHarness()
+    _configure(harness, 1, filling_steps.SERVICE)
+    harness.report(0.0, "w", WORKER_MILLICORES)
+    harness.submit("0a", filling_steps.ordinary_step(1000))
+    assert harness.plan(0.1)
+    harness.report(0.2, "w", WORKER_MILLICORES)
+    _configure(harness, 2, "another")
+
+
+@when("a new leader hears that the task is done")
+def step_new_leader_hears_end(context: Any) -> None:
+    harness = context.harness
+    _change_leader(harness, 0.3)
+    end = requests.EndedRun(1, TASK, 1, model.Outcome.DONE, "")
+    harness.report(0.4, "w", WORKER_MILLICORES, (), (end,))
+
+
+@then("the task's job is done")
+def step_job_done(context: Any) -> None:
+    job = context.harness.state.job_by_id[model.JobId("0a")]
+    assert job.phase is model.JobPhase.DONE, job.phase
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -162,7 +162,9 @@
             or (known.key == key and known.report.sequence >= report.sequence)
         ):
             return None
-        if not report_checks.is_from_worker(state.configuration, known, report):
+        if not report_checks.is_from_worker(
+            state.configuration, known, report, key in state.runs_by_worker
+        ):
             self._decisions.add(
                 "report refused",
                 worker=report.worker,
--- a/fulmarrouter/cluster/report_checks.py
+++ b/fulmarrouter/cluster/report_checks.py
@@ -9,6 +9,7 @@
     configuration: model.Configuration | None,
     known: fleet_lib.WorkerView | None,
     report: requests.WorkerReport,
+    has_runs: bool,
 ) -> bool:
     """Whether a report comes from a worker of a service.
 
@@ -20,11 +21,14 @@
         configuration: The current configuration.
         known: The worker that is known under the report's id.
         report: The report.
+        has_runs: Whether runs are assigned to this incarnation. A new leader
+            knows its workers only by them.
     """
     if configuration is None or configuration.may_name(report.service):
         return True
+    if known is None:
+        return has_runs
     return (
-        known is not None
-        and known.key.incarnation == report.incarnation
+        known.key.incarnation == report.incarnation
         and known.report.service == report.service
     )
