--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -22,13 +22,10 @@
 from fulmarrouter.cluster import report_checks
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import run_monitor
 from fulmarrouter.cluster import serving_moves
-from fulmarrouter.cluster import stall_detection
 from fulmarrouter.cluster import state as state_lib
 
-# A worker that refused a start gets no new tasks for this long; its next reports
-# show what occupies its capacity.
-REFUSAL_BACKOFF_S = 0.5
 # For this long after a worker's first report to a leader, a run that is missing from
 # a report is not considered absent: the report may have been sent before the order
 # of an earlier leader arrived.
@@ -86,7 +83,7 @@
         self._expiry_due = 0.0
         self._summary_due = 0.0
         self._persist_due = 0.0
-        self._failed_workers_by_job: dict[model.JobId, set[model.WorkerId]] = {}
+        self._run_monitor = run_monitor.RunMonitor(self._decisions)
         # When the leases that earlier leaders granted have ended, for workers
         # that have not reported to this leader.
         self._inherited_lease_end_by_worker: dict[
@@ -197,7 +194,7 @@
         proposed += log_commands.end_runs(self._new_ends(now, state, view))
         self.fleet.mark_changed(report.worker)
         self.interference.on_report(now, state, view)
-        self._stop_stalled(now, state, view)
+        self._run_monitor.on_report(now, state, view, self.interference)
         return proposed
 
     def _end_earlier_incarnations(
@@ -275,76 +272,9 @@
                     item.checkpoint,
                 )
             )
-            self._record_outcome(now, view, item)
+            self._run_monitor.on_ended(now, view, item)
         return ends
 
-    def _record_outcome(
-        self, now: float, view: fleet_lib.WorkerView, item: requests.EndedRun
-    ) -> None:
-        """Updates the worker's health from the outcome of a run."""
-        view.stop_requested.pop(item.task, None)
-        match item.outcome:
-            case model.Outcome.DONE:
-                view.worker_health.record_success()
-            case model.Outcome.FAILED:
-                parts = model.parse_task_id(item.task)
-                if parts is None:
-                    return
-                failed_workers = self._failed_workers_by_job.setdefault(
-                    parts[0], set()
-                )
-                failed_workers.add(view.key.worker)
-                # A job that fails on several workers is probably at fault itself.
-                if len(failed_workers) > 1:
-                    return
-                if view.worker_health.record_failure(now, parts[0]):
-                    self._log_probation(now, view, "failures")
-            case model.Outcome.REFUSED:
-                view.backoff_until = now + REFUSAL_BACKOFF_S
-
-    def _stop_stalled(
-        self, now: float, state: state_lib.State, view: fleet_lib.WorkerView
-    ) -> None:
-        """Marks stalled runs to be stopped and placed on another worker."""
-        view.progress.retain(set(view.running))
-        for task_id, item in view.running.items():
-            found = state.find_task(task_id)
-            if found is None:
-                continue
-            job, key, _, _ = found
-            spec = job.spec.steps[key.step]
-            if self.interference.is_paused(view.key, task_id):
-                view.progress.restart_timeout(now, task_id)
-                continue
-            still_s = view.progress.observe(
-                now, task_id, item.run, item.percent
-            )
-            is_stop_requested = view.stop_requested.get(task_id) == item.run
-            if is_stop_requested or not stall_detection.is_stalled(
-                spec, item.percent, still_s
-            ):
-                continue
-            view.stop_requested[task_id] = item.run
-            self._decisions.add(
-                "run stalled",
-                task=task_id,
-                worker=view.key.worker,
-                percent=item.percent,
-                still_s=round(still_s, 1),
-            )
-            if view.worker_health.record_stall(now, job.id):
-                self._log_probation(now, view, "stalled runs")
-
-    def _log_probation(
-        self, now: float, view: fleet_lib.WorkerView, reason: str
-    ) -> None:
-        self._decisions.add(
-            "worker on probation",
-            worker=view.key.worker,
-            reason=reason,
-            for_s=round(view.worker_health.probation_until - now, 1),
-        )
-
     def on_proposed(self, report: requests.WorkerReport, index: int) -> None:
         """Records the log index whose commit makes a report's ends durable."""
         view = self.fleet.view_by_id.get(report.worker)
@@ -474,9 +404,7 @@
     def _forget_jobs(self, state: state_lib.State) -> None:
         self.interference.forget_jobs(state)
         self.planner.forget_jobs(state)
-        for job_id in list(self._failed_workers_by_job):
-            if not state.is_job_active(job_id):
-                del self._failed_workers_by_job[job_id]
+        self._run_monitor.forget_jobs(state)
 
     # Orders.
 
