Withdraw the order to stop a stalled run that makes progress again

Owners could see: a serving task that is stopped while it is at work. Cause: a task that didn't become ready for 4 s was marked to be stopped, and the mark stayed. If the answer with the order was lost, the order was repeated when the task was ready. Change: the mark is made anew with each report, from the progress that it shows. Evidence: "A serving task that stalled at its start becomes ready before it has been stopped" failed before and passes.

--- a/features/serving_moves.feature
+++ b/features/serving_moves.feature
@@ -50,6 +50,15 @@
       | its job is cancelled            | nobody |
       | the other task was put there    | w2     |
 
+  # Guards against a serving task that is stopped although it is at work: the order to
+  # stop it while it was stalled had been lost.
+  Scenario: A serving task that stalled at its start becomes ready before it has been stopped
+    Given a worker with 3 serving tasks of one image and 1 of another, and a worker with room beside 2 tasks of the other
+    And its job must not lose a task
+    When the task has stalled and the order to stop it is lost
+    And it becomes ready
+    Then the task at work is not told to stop
+
   Scenario: The leader's log shows how many serving images share a worker
     Given a worker with 3 serving tasks of one image and 1 of another, and a worker with room beside 2 tasks of the other
     And all tasks are at work
--- a/features/steps/serving_moves_steps.py
+++ b/features/steps/serving_moves_steps.py
@@ -312,6 +312,24 @@
     context.assigned = cluster.harness.plan(assigned_at)
 
 
+@when("the task has stalled and the order to stop it is lost")
+def step_stop_lost(context: Any) -> None:
+    cluster = context.cluster
+    cluster.percent_by_task[MOVED_TASK] = 50
+    orders = [cluster.report(now / 10, "w0") for now in range(10, 53)]
+    assert [stop.task for stop in orders[-1].stops] == [MOVED_TASK]
+
+
+@when("it becomes ready")
+def step_becomes_ready(context: Any) -> None:
+    context.cluster.percent_by_task[MOVED_TASK] = 100
+
+
+@then("the task at work is not told to stop")
+def step_ready_task_not_stopped(context: Any) -> None:
+    assert not context.cluster.report(6.4, "w0").stops
+
+
 @then("it is assigned to {worker}")
 def step_new_worker(context: Any, worker: str) -> None:
     found = [item.worker for item in context.assigned] or ["nobody"]
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -439,7 +439,7 @@
             spec = job.spec.steps[key.step]
             is_wanted = _is_wanted(job, task, run)
             if view.is_running(task_id, run):
-                if not is_wanted or view.stop_requested.get(task_id) == run:
+                if not is_wanted or view.must_stop(task_id, run):
                     stop = requests.StopOrder(task_id, run)
                     if budget.admits(stop):
                         stops.append(stop)
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -50,6 +50,8 @@
             has ended them. They are being stopped.
         stop_requested: Runs that it is told to stop although their tasks are
             still to be done.
+        stalled: Runs that it is told to stop for as long as they make no
+            progress.
         backoff_until: The worker gets no new tasks before this time, since it
             refused a start for lack of capacity.
         finite_runs: Assigned runs that end by themselves.
@@ -96,6 +98,7 @@
     stop_requested: dict[model.TaskId, int] = dataclasses.field(
         default_factory=dict
     )
+    stalled: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
 
     def has_reported(self, task: model.TaskId, run: int) -> bool:
         """Whether the worker reported the run as running or ended."""
@@ -109,6 +112,10 @@
         known = self.running.get(task)
         return known is not None and known.run == run
 
+    def must_stop(self, task: model.TaskId, run: int) -> bool:
+        """Whether it is told to stop the run of a task that is to be done."""
+        return run in (self.stop_requested.get(task), self.stalled.get(task))
+
     def free_resources(self) -> commands.Resources:
         """Returns the resources that no run claims."""
         return self.report.capacity.minus(self.used)
--- a/fulmarrouter/cluster/run_monitor.py
+++ b/fulmarrouter/cluster/run_monitor.py
@@ -58,8 +58,13 @@
         view: fleet_lib.WorkerView,
         interference: interference_control.InterferenceController,
     ) -> None:
-        """Marks stalled runs to be stopped and placed on another worker."""
+        """Marks stalled runs to be stopped and placed on another worker.
+
+        The mark goes if a run makes progress before it has been stopped.
+        """
         view.progress.retain(set(view.running))
+        previously_stalled = view.stalled
+        view.stalled = {}
         for task_id, item in view.running.items():
             found = state.find_task(task_id)
             if found is None:
@@ -77,7 +82,9 @@
                 spec, item.percent, still_s
             ):
                 continue
-            view.stop_requested[task_id] = item.run
+            view.stalled[task_id] = item.run
+            if previously_stalled.get(task_id) == item.run:
+                continue
             self._decisions.add(
                 "run stalled",
                 task=task_id,
--- a/fulmarrouter/cluster/serving_moves.py
+++ b/fulmarrouter/cluster/serving_moves.py
@@ -265,7 +265,7 @@
                 running is None
                 or running.run != task.run
                 or running.percent < stall_detection.READY_PERCENT
-                or task_id in view.stop_requested
+                or view.must_stop(task_id, task.run)
             ):
                 return False
         return True
