Move no paused tasks of which only some may be unavailable

Owners could see: all tasks of a long-running filling step stopped at once, although its limit allows one. Cause: a task that is paused for long is stopped so that it runs elsewhere. That was decided for each worker by itself, without the limit of its step. Change: long-running tasks with such a limit stay where they are.

--- a/fulmarrouter/cluster/interference_control.py
+++ b/fulmarrouter/cluster/interference_control.py
@@ -314,9 +314,16 @@
                 view.stop_requested[task] = run
 
     def _can_move(self, reported: _ReportedTask) -> bool:
-        """Whether a filling task may be moved without losing much work."""
+        """Whether a filling task may be moved without losing much work.
+
+        Paces are set for each worker by itself, so tasks of which only some may be
+        unavailable at a time stay.
+        """
+        spec = reported.spec
+        if spec.runs_until_cancelled and spec.max_unavailable >= 0:
+            return False
         return reported.job.id not in self._pinned_jobs and (
-            reported.spec.supports_checkpoints
+            spec.supports_checkpoints
             or reported.running.percent < pacing.UNSAVED_MOVE_LIMIT_PERCENT
         )
 
