Count proposed jobs against the limit on jobs

Callers could see: 429 for a submission of which another copy is accepted; keepers could hold more jobs than the limit. Cause: the limit was checked against applied jobs. Submissions that awaited their commit did not count, and a copy of one of them was refused if the limit was reached meanwhile. Change: proposed jobs count, and a copy of one is never refused. Evidence: two rows of "The jobs are submitted in this order to a leader that may hold 2" failed before and pass.

--- a/features/steps/job_retention_steps.py
+++ b/features/steps/job_retention_steps.py
@@ -48,7 +48,7 @@
 
 @then("a new job is {verdict}")
 def step_new_job(context: Any, verdict: str) -> None:
-    refusal = admission.refusal(context.harness.state)
+    refusal = admission.refusal(context.harness.state, 0)
     assert (refusal is None) == (verdict == "accepted"), refusal
 
 
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -11,13 +11,17 @@
 from behave import then
 from behave import when
 
+from features.steps import filling_steps
 from features.steps import leader_link_steps
 from features.steps import platform_steps
+from features.steps import reporting_steps
 from features.support import leader_fuzz
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import ids
+from fulmarrouter import read_index
 from fulmarrouter import wire
+from fulmarrouter.cluster import admission
 from fulmarrouter.cluster import job_requests
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
@@ -248,3 +252,51 @@
 def step_processes_are_running(context: Any) -> None:
     for item in context.processes:
         assert item.process.poll() is None, item.host
+
+
+@given("a leader that may hold {count:d} jobs")
+def step_small_leader(context: Any, count: int) -> None:
+    limit = mock.patch.object(admission, "MAX_JOBS", count)
+    limit.start()
+    context.add_cleanup(limit.stop)
+    context.leader = reporting_steps.SingleVoterLeader()
+    configuration = model.Configuration(
+        1, "digest", b"", (filling_steps.QUEUE,), ()
+    )
+    context.leader.controller.replica.propose(
+        log_commands.encode(log_commands.ReplaceConfiguration(configuration))
+    )
+    for _ in range(4):
+        context.leader.turn()
+
+
+@when("the jobs {jobs} are submitted before any of them is committed")
+def step_submit_jobs(context: Any, jobs: str) -> None:
+    leader = context.leader
+    job_by_call = {}
+    for number, job in enumerate(jobs.split(",")):
+        client = read_index.Client(ids.ConnectionId(1), ids.CallId(number))
+        job_by_call[client.call] = job
+        request = requests.SubmitJob(
+            "host", f"/q/{job}", _job_spec(_step_spec())
+        )
+        leader.controller.on_request(leader.now, 0, client, request)
+    answers = [item for _ in range(6) for item in leader.turn()]
+    assert len(answers) == len(job_by_call), answers
+    context.refused_jobs = [
+        job_by_call[item.client.call]
+        for item in answers
+        if isinstance(item.reply, requests.Refused)
+    ]
+
+
+@then("{count:d} jobs are held")
+def step_held_jobs(context: Any, count: int) -> None:
+    held = context.leader.controller.state.job_by_id
+    assert len(held) == count, held
+
+
+@then("the submissions that are refused are of the jobs {jobs}")
+def step_refused_jobs(context: Any, jobs: str) -> None:
+    expected = [] if jobs == "none" else jobs.split(",")
+    assert context.refused_jobs == expected, context.refused_jobs
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -58,3 +58,18 @@
   Scenario: A leader is sent jobs of many tasks and long strings
     When a leader is sent jobs of many tasks and long strings with seeds 0 to 2
     Then none of them crashes it
+
+  # Guards against more jobs than a keeper holds, and against a submission that is
+  # refused although a copy of it, which awaits its commit, is accepted.
+  Scenario Outline: The jobs <jobs> are submitted in this order to a leader that may hold 2
+    Given a leader that may hold 2 jobs
+    When the jobs <jobs> are submitted before any of them is committed
+    Then <held> jobs are held
+    And the submissions that are refused are of the jobs <refused>
+
+    Examples:
+      | jobs      | held | refused |
+      | 1,2       | 2    | none    |
+      | 1,2,3     | 2    | 3       |
+      | 1,2,1,2   | 2    | none    |
+      | 1,2,3,2,3 | 2    | 3,3     |
--- a/fulmarrouter/cluster/admission.py
+++ b/fulmarrouter/cluster/admission.py
@@ -14,9 +14,16 @@
 MAX_JOBS = 20_000
 
 
-def refusal(state: state_lib.State) -> requests.Refused | None:
-    """Returns the refusal of a new job, or None if it is accepted."""
-    if len(state.job_by_id) >= MAX_JOBS:
+def refusal(
+    state: state_lib.State, proposed_jobs: int
+) -> requests.Refused | None:
+    """Returns the refusal of a new job, or None if it is accepted.
+
+    Args:
+        state: The replicated state.
+        proposed_jobs: Number of jobs that have been proposed but not applied.
+    """
+    if len(state.job_by_id) + proposed_jobs >= MAX_JOBS:
         return requests.Refused(
             codes.Code.OVERLOADED, "too many jobs", RETRY_AFTER_MS
         )
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -96,6 +96,7 @@
         self._answered: list[Answered] = []
         self._result_by_index: dict[int, state_lib.Result] = {}
         self._planned_at_by_index: dict[int, float] = {}
+        self._proposed_jobs: set[model.JobId] = set()
         self._snapshot_index = replica.log.snapshot.last_index
         self._membership_due = 0.0
         self.has_pending_work = False
@@ -210,8 +211,13 @@
         if isinstance(target, job_requests.Unresolved) or target.job is None:
             self._read_index_queue.add(now, client, request)
             return
-        if target.job not in self.state.job_by_id:
-            refused = admission.refusal(self.state)
+        # A copy of a submission must not be refused while the first one may still
+        # be accepted.
+        if (
+            target.job not in self.state.job_by_id
+            and target.job not in self._proposed_jobs
+        ):
+            refused = admission.refusal(self.state, len(self._proposed_jobs))
             if refused is not None:
                 self.decisions.add(
                     "job refused", job=target.job, reason=refused.reason
@@ -223,6 +229,7 @@
                 target.job, target.queue, request.spec, wall_ms
             )
         )
+        self._proposed_jobs.add(target.job)
         self._read_index_queue.add(now, client, request, index)
 
     def _on_cancel(
@@ -370,6 +377,7 @@
             self._refuse(item.client, code, leader=self.leader_address())
         self._result_by_index = {}
         self._planned_at_by_index = {}
+        self._proposed_jobs = set()
 
     # Output.
 
@@ -422,6 +430,7 @@
                 self.dispatcher.planner.on_assigned(command)
                 self._log_assignments(now, entry.index, command)
             case log_commands.SubmitJob():
+                self._proposed_jobs.discard(command.job)
                 self._result_by_index[entry.index] = result
                 self.decisions.add(
                     "job accepted",
