Send the pace of filling tasks that run when a leader first hears of them

Callers could see: a filling task that stays paused, is stopped as stalled, and counts against its worker. Cause: a new leader took all tasks for running at full pace and sent a pace only when it changed. The pause of an earlier leader stayed in force. Change: the paces of the tasks in a worker's first report are sent once. Evidence: "A leader is elected while a filling task is paused" failed before and passes.

--- a/features/leader_changes.feature
+++ b/features/leader_changes.feature
@@ -44,3 +44,9 @@
     Given a worker that runs a task and whose service has been removed
     When a new leader hears that the task is done
     Then the task's job is done
+
+  # Guards against a filling task that an earlier leader paused and nobody resumes.
+  Scenario: A leader is elected while a filling task is paused
+    Given a worker whose filling task an earlier leader has paused
+    When a new leader hears of it, and nothing needs the pause any more
+    Then the task is ordered to run at full pace once
--- a/features/steps/leader_changes_steps.py
+++ b/features/steps/leader_changes_steps.py
@@ -186,3 +186,40 @@
 def step_job_done(context: Any) -> None:
     job = context.harness.state.job_by_id[model.JobId("0a")]
     assert job.phase is model.JobPhase.DONE, job.phase
+
+
+@given("a worker whose filling task an earlier leader has paused")
+def step_paused_by_earlier_leader(context: Any) -> None:
+    harness = context.harness = filling_steps.DispatcherHarness()
+    harness.report(0.0, "w", 64_000)
+    harness.submit("0a", filling_steps._serving_step(13_000))
+    harness.submit("0b", filling_steps._filling_step(8_000))
+    assert len(harness.plan(0.1)) == 2
+    paces = _report_tail(harness, 0.2, tail_ms=500)
+    assert [item.percent for item in paces] == [0], paces
+
+
+def _report_tail(
+    harness: filling_steps.DispatcherHarness, now: float, tail_ms: int
+) -> tuple[requests.PaceOrder, ...]:
+    """Reports a serving and a filling task; returns the ordered paces."""
+    running = (
+        requests.ActiveRun(model.TaskId("0a.0.0.0"), 1, "", 100, tail_ms),
+        requests.ActiveRun(model.TaskId("0b.0.0.0"), 1, "", 5, 0),
+    )
+    return harness.report(now, "w", 64_000, running).paces
+
+
+@when("a new leader hears of it, and nothing needs the pause any more")
+def step_pause_not_needed(context: Any) -> None:
+    _change_leader(context.harness, 0.4)
+    context.paces = [
+        item.percent
+        for now in (0.5, 0.6, 0.7)
+        for item in _report_tail(context.harness, now, tail_ms=10)
+    ]
+
+
+@then("the task is ordered to run at full pace once")
+def step_resumed(context: Any) -> None:
+    assert context.paces == [100], context.paces
--- a/fulmarrouter/cluster/interference_control.py
+++ b/fulmarrouter/cluster/interference_control.py
@@ -122,6 +122,7 @@
         self, now: float, state: state_lib.State, view: fleet_lib.WorkerView
     ) -> None:
         """Updates the model and the paces from a worker's report."""
+        is_first_report = view.key not in self._state_by_worker
         worker_state = self._state_by_worker.setdefault(
             view.key, _WorkerState()
         )
@@ -138,6 +139,8 @@
             worker_state.baseline_headroom_by_image = (
                 self._min_baseline_by_image(now, reported_tasks)
             )
+        if is_first_report:
+            _assume_unknown_paces(now, worker_state, reported_tasks)
         self._update_paces(now, view, worker_state, reported_tasks)
 
     def forget_worker(self, key: state_lib.WorkerKey) -> None:
@@ -328,6 +331,25 @@
         )
 
 
+def _assume_unknown_paces(
+    now: float,
+    worker_state: _WorkerState,
+    reported_tasks: list[_ReportedTask],
+) -> None:
+    """Has the paces of filling tasks sent that run when a worker is first heard.
+
+    An earlier leader may have paused them.
+    """
+    for reported in reported_tasks:
+        if reported.spec.fills:
+            worker_state.pace_by_task[reported.running.task] = _PaceState(
+                reported.running.run,
+                reported.spec,
+                pacing.FULL_PACE_PERCENT,
+                now - MIN_PACE_CHANGE_INTERVAL_S,
+            )
+
+
 def _is_significant_change(current: int, wanted: int) -> bool:
     """Whether a change of pace is large enough to be sent to the worker."""
     if wanted in (0, pacing.FULL_PACE_PERCENT):
