Derive unwanted runs for each worker, and start no second run beside one

Callers could see: a task that runs twice on a worker for as long as its earlier run takes to stop, after a leave that wasn't the worker's own. Cause: only the limit and the capacity delayed a start beside a run that was being stopped. Change: a worker's unwanted runs are derived when its usage is: what it reports though the state has ended it, and assigned runs of tasks that are done. A start of the same task waits for them too.

--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -50,6 +50,18 @@
       | an earlier run of the task has ended as done  |
       | another process has said that the worker left |
 
+  # Guards against a task that runs twice on a worker, and a worker beyond its capacity.
+  Scenario Outline: A run that the state has ended goes on, and <what> is to be planned for its worker
+    Given a worker of 16 cores that runs a task of 10 cores
+    When the state ends the run, but the worker still reports it
+    And <what> is to be planned for its worker
+    Then nothing is started on the worker until the run has stopped
+
+    Examples:
+      | what                   |
+      | the same task          |
+      | another task of 8 cores |
+
   # Guards against a serving task that is stopped although others of its step are away
   # by now: the order outlived the move for which it was given.
   Scenario: A move is given up before its task has been told to stop
--- a/features/serving_moves.feature
+++ b/features/serving_moves.feature
@@ -35,6 +35,7 @@
       | no filling task has run            | 0     |
       | the other worker is draining       | 0     |
       | the other worker serves another service | 0 |
+      | the other worker is at the limit of its step | 0 |
 
   Scenario Outline: A serving task that has stopped to move, and <event>
     Given a worker with 3 serving tasks of one image and 1 of another, and a worker with room beside 2 tasks of the other
--- a/features/steps/assignment_steps.py
+++ b/features/steps/assignment_steps.py
@@ -274,3 +274,49 @@
     context.harness.report(0.4, "w", 16_000, (), (end,))
     planned = context.harness.plan(0.5)
     assert [item.worker for item in planned] == ["w"], planned
+
+
+@given("a worker of 16 cores that runs a task of 10 cores")
+def step_busy_worker(context: Any) -> None:
+    harness = context.harness = filling_steps.DispatcherHarness()
+    harness.report(0.0, "w", 16_000)
+    harness.submit("0a", filling_steps.ordinary_step(10_000))
+    assert harness.plan(0.1)
+    context.running = (requests.ActiveRun(model.TaskId("0a.0.0.0"), 1, "", 50),)
+    harness.report(0.2, "w", 16_000, context.running)
+
+
+@when("the state ends the run, but the worker still reports it")
+def step_ended_run_goes_on(context: Any) -> None:
+    harness = context.harness
+    left = requests.WorkerLeft(model.WorkerId("w"), 0)
+    for command in harness.dispatcher.on_left(harness.state, left):
+        harness.commit(command)
+    harness.report(0.3, "w", 16_000, context.running)
+
+
+@when("{what} is to be planned for its worker")
+def step_plan_beside(context: Any, what: str) -> None:
+    harness = context.harness
+    context.started_job = "0a"
+    if what != "the same task":
+        harness.commit(log_commands.CancelJob(model.JobId("0a")))
+        harness.submit("0b", filling_steps.ordinary_step(8_000))
+        context.started_job = "0b"
+    harness.plan(0.4)
+
+
+@then("nothing is started on the worker until the run has stopped")
+def step_nothing_started(context: Any) -> None:
+    harness = context.harness
+    orders = harness.report(0.5, "w", 16_000, context.running)
+    assert not orders.starts, orders
+    assert len(orders.stops) == 1, orders
+    end = requests.EndedRun(
+        1, model.TaskId("0a.0.0.0"), 1, model.Outcome.STOPPED, ""
+    )
+    harness.report(0.6, "w", 16_000, (), (end,))
+    harness.plan(0.7)
+    orders = harness.report(0.8, "w", 16_000, (), (end,))
+    started = [item.task.split(".")[0] for item in orders.starts]
+    assert started == [context.started_job], orders
--- a/features/steps/serving_moves_steps.py
+++ b/features/steps/serving_moves_steps.py
@@ -251,6 +251,12 @@
     context.cluster.service_by_worker["w1"] = model.ServiceName("other")
 
 
+@given("the other worker is at the limit of its step")
+def step_other_at_limit(context: Any) -> None:
+    step = _step("b", 2, max_per_worker=1)
+    context.cluster.run_job("odd", step, ["w0", "w1"])
+
+
 @given("another task of its job on a worker of its own, and one with room")
 def step_further_workers(context: Any) -> None:
     cluster = context.cluster
--- a/fulmarrouter/cluster/assignment_limits.py
+++ b/fulmarrouter/cluster/assignment_limits.py
@@ -77,16 +77,13 @@
     step = state.find_step(key)
     assert step is not None
     counts: collections.Counter[model.WorkerId] = collections.Counter()
-    is_limited = bool(state.spec_of(key).max_per_worker)
-    for index, task in enumerate(step.tasks):
-        if task.phase is model.TaskPhase.ASSIGNED or (
-            is_limited and _is_still_assigned(state, key, index, task)
-        ):
+    for task in step.tasks:
+        if task.phase is model.TaskPhase.ASSIGNED:
             counts[model.WorkerId(task.worker)] += 1
     for reservation in reserved_by_index.values():
         counts[reservation.worker] += 1
-    for view in fleet.views_with_unassigned_runs():
-        for task_id in view.unassigned_runs:
+    for view in fleet.views_with_unwanted_runs():
+        for task_id in view.unwanted_runs:
             found = state.find_task(task_id)
             if found is not None and found[1] == key:
                 counts[view.key.worker] += 1
@@ -97,6 +94,7 @@
     state: state_lib.State,
     view: fleet_lib.WorkerView,
     key: state_lib.StepKey,
+    task: model.TaskId,
 ) -> bool:
     """Whether a start has to wait until unwanted runs on its worker have stopped.
 
@@ -107,31 +105,15 @@
         state: The replicated state.
         view: The worker.
         key: The step of the task to be started.
+        task: The task.
     """
-    if not view.unassigned_runs:
+    if not view.unwanted_runs:
         return False
+    if task in view.unwanted_runs:
+        return True
     if not commands.Resources().fits_in(view.free_resources()):
         return True
     return bool(state.spec_of(key).max_per_worker) and any(
         found is not None and found[1] == key
-        for found in map(state.find_task, view.unassigned_runs)
-    )
-
-
-def _is_still_assigned(
-    state: state_lib.State,
-    key: state_lib.StepKey,
-    index: int,
-    task: state_lib.Task,
-) -> bool:
-    """Whether a run of a task that is done has not ended.
-
-    A task may be done by the end of an earlier run.
-    """
-    if task.phase is not model.TaskPhase.DONE:
-        return False
-    worker_key = state_lib.WorkerKey(
-        model.WorkerId(task.worker), task.incarnation
+        for found in map(state.find_task, view.unwanted_runs)
     )
-    task_id = model.format_task_id(key.job, key.occurrence, key.step, index)
-    return state.runs_by_worker.get(worker_key, {}).get(task_id) == task.run
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -455,7 +455,9 @@
             if (
                 is_wanted
                 and not view.report.draining
-                and not assignment_limits.must_wait_for_stops(state, view, key)
+                and not assignment_limits.must_wait_for_stops(
+                    state, view, key, task_id
+                )
             ):
                 start = requests.StartOrder(
                     task_id, run, job.spec.payload, task.checkpoint
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -43,11 +43,11 @@
         ended: Runs that it has reported as ended and that the replicated state
             still contains.
         running: Runs that it last reported as running.
-        used: Resources claimed by assigned and unassigned runs; filling runs
+        used: Resources claimed by assigned and unwanted runs; filling runs
             claim no processor time. This and the next fields are valid if
             `is_usage_stale` is false.
-        unassigned_runs: Runs that it reports as running although the state
-            has ended them. They are being stopped.
+        unwanted_runs: Runs that are being stopped: it reports them although the
+            state has ended them, or their tasks are done.
         stop_requested: Runs that it is told to stop although their tasks are
             still to be done.
         stalled: Runs that it is told to stop for as long as they make no
@@ -75,7 +75,7 @@
         default_factory=dict
     )
     used: commands.Resources = NO_RESOURCES
-    unassigned_runs: dict[model.TaskId, int] = dataclasses.field(
+    unwanted_runs: dict[model.TaskId, int] = dataclasses.field(
         default_factory=dict
     )
     filling_share_by_image: dict[str, float] = dataclasses.field(
@@ -138,7 +138,7 @@
     def __init__(self) -> None:
         self.view_by_id: dict[model.WorkerId, WorkerView] = {}
         self._changed: dict[model.WorkerId, None] = {}  # Ordered set.
-        self._workers_with_unassigned_runs: set[model.WorkerId] = set()
+        self._workers_with_unwanted_runs: set[model.WorkerId] = set()
 
     def mark_changed(self, worker: model.WorkerId) -> None:
         """Marks a worker's capacity as possibly changed."""
@@ -157,11 +157,11 @@
         """Drops a worker that has left or is lost."""
         if self.view_by_id.pop(worker, None) is not None:
             self._changed[worker] = None
-            self._workers_with_unassigned_runs.discard(worker)
+            self._workers_with_unwanted_runs.discard(worker)
 
-    def views_with_unassigned_runs(self) -> Iterator[WorkerView]:
-        """Yields the workers that report runs which the state has ended."""
-        for worker in self._workers_with_unassigned_runs:
+    def views_with_unwanted_runs(self) -> Iterator[WorkerView]:
+        """Yields the workers on which runs are being stopped."""
+        for worker in self._workers_with_unwanted_runs:
             yield self.view_by_id[worker]
 
     def refresh_usage(self, state: state_lib.State, view: WorkerView) -> None:
@@ -169,15 +169,12 @@
         if not view.is_usage_stale:
             return
         assigned = state.runs_by_worker.get(view.key, {})
-        view.unassigned_runs = {
+        unassigned = {
             task: item.run
             for task, item in view.running.items()
             if assigned.get(task) != item.run
         }
-        if view.unassigned_runs:
-            self._workers_with_unassigned_runs.add(view.key.worker)
-        else:
-            self._workers_with_unassigned_runs.discard(view.key.worker)
+        view.unwanted_runs = dict(unassigned)
         millicores = 0
         memory_mb = 0
         accelerators = 0
@@ -188,14 +185,14 @@
         finite_runs = 0
         ordinary_runs = 0
         count_by_image: dict[str, int] = {}
-        for task, run in itertools.chain(
-            assigned.items(), view.unassigned_runs.items()
-        ):
+        for task, run in itertools.chain(assigned.items(), unassigned.items()):
             if view.ended.get(task) == run:
                 continue
             located = state.find_task(task)
             if located is None:
                 continue
+            if located[3].phase is model.TaskPhase.DONE:
+                view.unwanted_runs[task] = run
             spec = state.spec_of(located[1])
             finite_runs += not spec.runs_until_cancelled
             ordinary_runs += gaps.is_ordinary(spec)
@@ -227,6 +224,10 @@
             + idle_serving_millicores
             - filling_millicores
         )
+        if view.unwanted_runs:
+            self._workers_with_unwanted_runs.add(view.key.worker)
+        else:
+            self._workers_with_unwanted_runs.discard(view.key.worker)
         view.is_usage_stale = False
 
     def mark_touched(self, state: state_lib.State) -> None:
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -536,6 +536,10 @@
 def _complete_task(
     state: State, job: Job, key: StepKey, step: Step, task: Task
 ) -> None:
+    if task.phase is model.TaskPhase.ASSIGNED:
+        # A later run than the one that is done may go on there.
+        worker_key = WorkerKey(model.WorkerId(task.worker), task.incarnation)
+        state.changed_workers[worker_key] = None
     task.phase = model.TaskPhase.DONE
     step.done_count += 1
     if step.waiting_count == 0:
