--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -3,22 +3,19 @@
   that are no longer wanted are being stopped. The scenarios guard against
   assignments that are checked against committed commands only.
 
-  # Guards against two tasks of a step on one worker: an assignment that awaits its
-  # commit wasn't counted when a moved task was assigned.
+  # Guards against two tasks of a step on one worker: a pending assignment didn't count.
   Scenario: A task has stopped to move while the assignment of another one of its step awaits its commit
     Given a task that is to move to a worker, and another task of its step
     When the other one loses its worker and is planned, and the first one has stopped before that is committed
     Then each task is planned once, and for a worker of its own
 
-  # Guards against two tasks of a step on one worker: a move was given up although
-  # its assignment had been proposed.
+  # Guards against two tasks of a step on one worker: a proposed move was given up.
   Scenario: The commit of a moved task's assignment takes longer than a move may
     Given a task that is to move to a worker, and another task of its step
     When the commit of its assignment takes longer than a move may, and the other one loses its worker meanwhile
     Then each task is planned once, and for a worker of its own
 
-  # Guards against a task on a worker that may not run it: the worker was checked
-  # only when the move began.
+  # Guards against a task on a worker that became another kind after the move began.
   Scenario Outline: The worker that a task is to move to restarts <how>
     Given a task that needs a label and is to move to a worker
     When that worker restarts <how> before the task has stopped
@@ -31,15 +28,13 @@
       | without the label                   | w3     |
       | in another service with little room | w3     |
 
-  # Guards against a worker beyond its capacity: an assignment that awaits its commit
-  # wasn't counted when a moved task was assigned.
+  # Guards against a worker beyond its capacity: a pending assignment didn't count.
   Scenario: Two tasks change places while an assignment to one of the workers awaits its commit
     Given two tasks that are to change places, on full workers
     When an assignment to one of them awaits its commit, and the task that is to move there has stopped
     Then the task is not planned before the other one has stopped
 
-  # Guards against two tasks of a step on one worker: only runs of tasks that are
-  # still to be done were counted.
+  # Guards against two tasks of a step on one worker: unwanted runs didn't count.
   Scenario Outline: A run is no longer wanted, because <event>
     Given a worker that runs a task of a step with a limit of 1 per worker
     When <event>, and the worker still reports the run
@@ -62,8 +57,7 @@
       | the same task          |
       | another task of 8 cores |
 
-  # Guards against a serving task that is stopped although others of its step are away
-  # by now: the order outlived the move for which it was given.
+  # Guards against a serving task that is stopped long after its move was given up.
   Scenario: A move is given up before its task has been told to stop
     Given a task that is to move to a worker, and another task of its step
     When its worker is silent for longer than a move may take
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -119,8 +119,7 @@
     When all 6 endpoints of a service fail 10 times
     Then at most 2 endpoints are ejected
 
-  # Guards against a request that is said not to have run although an earlier attempt
-  # may have run it.
+  # Guards against a request that is said not to have run although it may have.
   Scenario Outline: The attempts of a request end with <codes>
     When the attempts of an idempotent request end with <codes>
     Then the caller is answered <answer>
--- a/features/filling.feature
+++ b/features/filling.feature
@@ -27,8 +27,7 @@
       | 2.15  | 10.0,1.0 | 70,100 |
       | 2.15  | 1.0,40.0 | 100,17 |
 
-  # Guards against a service of which more tasks are stopped at once than its owner
-  # allows: each worker's paused tasks were moved by themselves.
+  # Guards against more tasks of a service stopped at once than its owner allows.
   Scenario Outline: Long-running filling tasks on 3 workers are paused, and <limit> may be unavailable
     Given 3 workers with a long-running filling task each, of which <limit> may be unavailable
     When serving tasks beside them keep them paused for 4 s
--- a/features/leader_changes.feature
+++ b/features/leader_changes.feature
@@ -3,8 +3,7 @@
   their time are not in the state. The scenarios guard against a new leader that
   takes its first reports for the whole truth.
 
-  # Guards against two tasks of a step, or more than its capacity, on a worker: its
-  # first report to the new leader was sent before the earlier leader's order arrived.
+  # Guards against a worker beyond its limits: its first report predates an order.
   Scenario Outline: A late report does not list a run that is no longer wanted, and a task of <step> is planned in its place
     Given a worker on which an earlier leader has started a run that is no longer wanted
     And a new leader, to which a report without the run arrives after 3.6 s
@@ -17,8 +16,7 @@
       | the same step, with a limit of 1        |
       | another job, which needs its capacity   |
 
-  # Guards against a run that is taken for over while its worker runs it: the first
-  # report that reaches a new leader may be older than the order to start it.
+  # Guards against a run that is taken for over because a late report doesn't list it.
   Scenario Outline: An unwanted run is missing from a report <seconds> s after the worker's first one
     Given a worker on which an earlier leader has started a run that is no longer wanted
     And a new leader, to which a report without the run arrives after 3.6 s
@@ -31,15 +29,13 @@
       | 2.9     | still assigned |
       | 3.1     | ended          |
 
-  # Guards against a second task of a step that is stopped to move while the earlier
-  # leader's stop of another one is in progress.
+  # Guards against two tasks of a step that are stopped to move at the same time.
   Scenario: A new leader is elected while a serving task stops to move
     Given two tasks of a step, of which an earlier leader moves one
     When a new leader hears of the workers before the task has stopped
     Then it moves no other task of the step
 
-  # Guards against a job that never ends: a new leader refused the reports of a worker
-  # whose service had been removed.
+  # Guards against a job that never ends: its worker's reports were refused.
   Scenario: A leader is elected after the service of a busy worker was removed
     Given a worker that runs a task and whose service has been removed
     When a new leader hears that the task is done
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -63,8 +63,7 @@
       | truncated text | with a signal    | old   | settings not taken |
       | another role   | without a signal | old   | settings not taken |
 
-  # Guards against an operator who takes a change for effective that is not: a later
-  # change of something else no longer named it.
+  # Guards against a change that seems effective because a later one hides it.
   Scenario: A change that needs a restart is followed by another one
     Given a settings file that is watched
     When it changes to another host, with a signal
--- a/features/properties.feature
+++ b/features/properties.feature
@@ -18,8 +18,7 @@
       | slow worker | 0     | 29   |
       | replacement | 0     | 19   |
 
-  # Guards against a new leader that takes workers for unknown and their leases for
-  # ended, because it has not applied the entries that registered them.
+  # Guards against a new leader that takes workers' leases for ended.
   Scenario: A new leader starts its work once it has applied all committed entries
     When the starts of terms in "fault" histories with seeds from 1000 to 1019 are recorded
     Then none has preceded a committed entry
--- a/features/serving_moves.feature
+++ b/features/serving_moves.feature
@@ -51,8 +51,7 @@
       | its job is cancelled            | nobody |
       | the other task was put there    | w2     |
 
-  # Guards against a serving task that is stopped although it is at work: the order to
-  # stop it while it was stalled had been lost.
+  # Guards against a serving task that is stopped although it is at work.
   Scenario: A serving task that stalled at its start becomes ready before it has been stopped
     Given a worker with 3 serving tasks of one image and 1 of another, and a worker with room beside 2 tasks of the other
     And its job must not lose a task
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -27,16 +27,14 @@
       | ENOSPC |
       | EIO    |
 
-  # Guards against a record that is acknowledged and lost: after a failed sync its
-  # first copy may never reach the disk, and a later sync succeeds all the same.
+  # Guards against a damaged record before valid ones after a sync that failed.
   Scenario: A record whose sync fails is removed before it is written again
     Given a log of 3 synced records
     When a sync fails with EIO and the record is written again
     Then the log holds one more record than before
     And loading the data folder gives 4 entries
 
-  # Guards against a record that is acknowledged and lost with the next power loss: a
-  # process that was killed may have written it without a sync.
+  # Guards against records that a killed process wrote without a sync.
   Scenario: What an earlier process wrote is synced before it is used
     Given a log of 3 synced records
     When the data folder is loaded by another process
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -59,8 +59,7 @@
     When a leader is sent jobs of many tasks and long strings with seeds 0 to 2
     Then none of them crashes it
 
-  # Guards against more jobs than a keeper holds, and against a submission that is
-  # refused although a copy of it, which awaits its commit, is accepted.
+  # Guards against a submission that is refused while a copy of it is accepted.
   Scenario Outline: The jobs <jobs> are submitted in this order to a leader that may hold 2
     Given a leader that may hold 2 jobs
     When the jobs <jobs> are submitted before any of them is committed
