Write one log line for the assignments of a command

Operators could miss: the lines that explain an assignment. A command may hold 256 assignments with a line each, while the log writes 40 lines a second and drops the rest, among them `serving task moved` and lost runs. Lost and failed runs keep their own lines. Evidence: "The log of a leader that runs a step" (new).

--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -62,3 +62,12 @@
     Given a task that is to move to a worker, and another task of its step
     When its worker is silent for longer than a move may take
     Then the task is no longer told to stop
+
+  Scenario Outline: The log of a leader that runs a step <kind>
+    Given a leader and a worker that has run a step <kind> to its end
+    Then its log has <assigned> lines on assignments and <ended> on ends without a failure
+
+    Examples:
+      | kind                       | assigned | ended |
+      | with a limit per worker    | 1        | 1     |
+      | that may run on any worker | 0        | 0     |
--- a/features/steps/assignment_steps.py
+++ b/features/steps/assignment_steps.py
@@ -5,8 +5,10 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from features.steps import filling_steps
+from features.steps import reporting_steps
 from features.steps import serving_moves_steps
 from fulmarrouter import commands
 from fulmarrouter.cluster import log_commands
@@ -320,3 +322,45 @@
     orders = harness.report(0.8, "w", 16_000, (), (end,))
     started = [item.task.split(".")[0] for item in orders.starts]
     assert started == [context.started_job], orders
+
+
+# What the log tells.
+
+
+@given("a leader and a worker that has run a step {kind} to its end")
+def step_logged_run(context: Any, kind: str) -> None:
+    leader = reporting_steps.SingleVoterLeader()
+    limit = 1 if "limit" in kind else 0
+    step = msgspec.structs.replace(
+        filling_steps.ordinary_step(1), max_per_worker=limit
+    )
+    leader.controller.replica.propose(
+        log_commands.encode(
+            log_commands.SubmitJob(
+                model.JobId("0a"),
+                filling_steps.QUEUE,
+                model.JobSpec("payload", (step,)),
+                0,
+            )
+        )
+    )
+    leader.report()
+    for _ in range(20):
+        leader.turn()
+    end = requests.EndedRun(
+        1, model.TaskId("0a.0.0.0"), 1, model.Outcome.DONE, ""
+    )
+    leader.report((), (end,))
+    for _ in range(6):
+        leader.turn()
+    context.events = [item.event for item in leader.controller.decisions.take()]
+
+
+@then(
+    "its log has {assigned:d} lines on assignments and {ended:d} on ends"
+    " without a failure"
+)
+def step_logged_lines(context: Any, assigned: int, ended: int) -> None:
+    found = context.events
+    assert found.count("tasks assigned") == assigned, found
+    assert found.count("runs ended") == ended, found
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -24,6 +24,7 @@
 from fulmarrouter.cluster import report_relays
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import run_log
 from fulmarrouter.cluster import state as state_lib
 
 # Entries applied between two snapshots. Keeps the replay after a restart under a
@@ -35,14 +36,6 @@
 # A keeper that has not answered the leader for longer than this is not used as
 # a relay of workers' reports.
 RELAY_MAX_SILENCE_S = 0.5
-# Outcomes for which each run is logged. All ends are logged for tasks that may not
-# run on every worker.
-LOGGED_OUTCOMES = (
-    model.Outcome.FAILED,
-    model.Outcome.LOST,
-    model.Outcome.REFUSED,
-    model.Outcome.GANG_INCOMPLETE,
-)
 
 
 Client = read_index.Client
@@ -95,7 +88,7 @@
         ] = read_index.ReadIndexQueue(replica)
         self._answered: list[Answered] = []
         self._result_by_index: dict[int, state_lib.Result] = {}
-        self._planned_at_by_index: dict[int, float] = {}
+        self._run_log = run_log.RunLog(self.decisions)
         self._proposed_jobs: set[model.JobId] = set()
         self._snapshot_index = replica.log.snapshot.last_index
         self._membership_due = 0.0
@@ -310,7 +303,7 @@
         self.dispatcher.move_serving_tasks(now, self.state)
         planned = self.dispatcher.planner.plan(now, self.state)
         if planned is not None:
-            self._planned_at_by_index[self._propose(planned)] = now
+            self._run_log.on_planned(now, self._propose(planned))
 
     def _reconcile_members(self, now: float) -> None:
         """Opens the service when it is due and proposes membership changes."""
@@ -376,7 +369,7 @@
                 code = codes.Code.NOT_LEADER
             self._refuse(item.client, code, leader=self.leader_address())
         self._result_by_index = {}
-        self._planned_at_by_index = {}
+        self._run_log.start_term()
         self._proposed_jobs = set()
 
     # Output.
@@ -428,7 +421,7 @@
         match command:
             case log_commands.AssignTasks():
                 self.dispatcher.planner.on_assigned(command)
-                self._log_assignments(now, entry.index, command)
+                self._run_log.on_assigned(now, self.state, entry.index, command)
             case log_commands.SubmitJob():
                 self._proposed_jobs.discard(command.job)
                 self._result_by_index[entry.index] = result
@@ -454,25 +447,6 @@
                     index=entry.index,
                 )
 
-    def _log_assignments(
-        self, now: float, index: int, command: log_commands.AssignTasks
-    ) -> None:
-        """Logs the assignments of tasks that may not run on every worker."""
-        planned_at = self._planned_at_by_index.pop(index, now)
-        for item in command.assignments:
-            found = self.state.find_task(item.task)
-            if found is None or not _is_constrained(found):
-                continue
-            self.decisions.add(
-                "task assigned",
-                task=item.task,
-                run=item.run,
-                worker=item.worker,
-                incarnation=item.incarnation,
-                index=index,
-                commit_ms=round(1000 * (now - planned_at)),
-            )
-
     def _apply_ends(self, index: int, command: log_commands.EndRuns) -> None:
         """Applies ends of runs and logs the jobs that end with them."""
         active: dict[model.JobId, state_lib.Job] = {}
@@ -480,17 +454,7 @@
             found = self.state.find_task(end.task)
             if found is not None and found[0].is_active:
                 active[found[0].id] = found[0]
-            if end.outcome in LOGGED_OUTCOMES or (
-                found is not None and _is_constrained(found)
-            ):
-                self.decisions.add(
-                    "run ended",
-                    task=end.task,
-                    run=end.run,
-                    worker=end.worker,
-                    outcome=end.outcome.name,
-                    index=index,
-                )
+        self._run_log.on_ended(self.state, index, command)
         self.state.apply(index, command)
         for job in active.values():
             if not job.is_active:
@@ -578,14 +542,3 @@
             return None
         self._snapshot_index = applied
         return self.replica.compact(self.state.encode())
-
-
-def _is_constrained(
-    found: tuple[
-        state_lib.Job, state_lib.StepKey, state_lib.Step, state_lib.Task
-    ],
-) -> bool:
-    """Whether a task's step limits the workers on which it may run."""
-    job, key, _, _ = found
-    spec = job.spec.steps[key.step]
-    return bool(spec.max_per_worker or spec.required_label)
