Check in all cluster histories that workers run only what they may

Cause: the histories checked the capacity of a worker as a number of runs, and neither the limit per worker nor label and service. Change: after each start and each step of time, what a live worker runs is compared with the limits per worker, its labels, its service and, exactly, its capacity. The check counts by itself what a task claims, not with the code under test. Syncs may take any time, stops up to max_stop_s, workers have a service and labels, drain, and are said to have left, also wrongly: only for such runs "runs in two places" is not checked, since the state has ended them although they go on.

--- a/features/support/cluster_simulation.py
+++ b/features/support/cluster_simulation.py
@@ -7,12 +7,16 @@
 not from the keepers' state.
 """
 
+from collections.abc import Iterable
+from collections.abc import Sequence
 import heapq
 import itertools
+import math
 import random
 from typing import Any
 
 from features.support import simulated_processes
+from features.support import worker_limits
 from fulmarrouter import codes
 from fulmarrouter import commands
 from fulmarrouter import consensus
@@ -21,40 +25,52 @@
 from fulmarrouter import raft_log
 from fulmarrouter.cluster import controller as controller_lib
 from fulmarrouter.cluster import dispatcher
+from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
 # Simulated seconds between two runs of every process.
 TICK_S = 0.02
-# Duration of a sync to disk.
-SYNC_S = 0.01
 LEASE_S = 3.0
 # How long a worker waits for a reply before it reports to another host.
 WORKER_TIMEOUT_S = 1.0
 QUEUE = model.Queue(
-    model.QueueName("q"), "host", "/q/", model.ServiceName("s"), 3000, 0, 3
+    model.QueueName("q"),
+    "host",
+    "/q/",
+    simulated_processes.DEFAULT_SERVICE,
+    3000,
+    0,
+    3,
 )
 CONTROL_PORT = 8080
+# Tail latency that serving tasks report.
+SERVING_LATENCY_MS = 50
 
 # A task of a cancelled job may start for this long after the answer, by orders that
 # were on their way.
 CANCELLING_S = 1.0
+# Time for which a request may be on its way.
+REQUEST_S = 1.0
 
-
-class InvariantViolationError(AssertionError):
-    """An invariant of the cluster does not hold."""
+InvariantViolationError = worker_limits.InvariantViolationError
 
 
 class ClusterSimulation:
     """The simulated cluster, and what its callers and workers have seen.
 
+    Args:
+        seed: Seed of all that is random.
+        workers: The workers; four alike by default.
+        effects: Interference effects that the keepers know from the start.
+
     Attributes:
         loss: Probability that a message between hosts, or a reply to a request,
             is lost. Messages between hosts are also delayed with this
             probability, and duplicated with half of it.
         failure_share: Share of the runs that fail.
-        labels_by_worker: Labels of the workers that have any.
+        max_stop_s: Longest time that a run goes on after an order to stop it.
         avoided_host: Host to which no caller sends a request by chance.
         accepted_jobs: Jobs whose submission was accepted.
         refused_jobs: Jobs of which each submission was refused.
@@ -69,7 +85,12 @@
         start_count: How many tasks have been started.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        workers: Sequence[simulated_processes.Worker] = (),
+        effects: Iterable[log_commands.InterferenceEffect] = (),
+    ) -> None:
         self._rng = random.Random(seed)
         self.now = 0.0
         self._event_order = itertools.count()
@@ -77,13 +98,15 @@
         self.hosts = [
             simulated_processes.Host(number) for number in range(1, 5)
         ]
-        self.workers = [
+        self.workers = list(workers) or [
             simulated_processes.Worker(model.WorkerId(f"w{n}"))
             for n in range(4)
         ]
+        self._initial_state = state_lib.State()
+        self._initial_state.apply(1, log_commands.KeepEffects(tuple(effects)))
         self.loss = 0.0
         self.failure_share = 0.1
-        self.labels_by_worker: dict[model.WorkerId, tuple[str, ...]] = {}
+        self.max_stop_s = 0.0
         self.avoided_host: simulated_processes.Host | None = None
         self.accepted_jobs: set[model.JobId] = set()
         self.refused_jobs: set[model.JobId] = set()
@@ -94,6 +117,7 @@
         self.tasks_acknowledged_done: set[model.TaskId] = set()
         self.acknowledged_failures_by_task: dict[model.TaskId, int] = {}
         self.spec_by_job: dict[model.JobId, model.JobSpec] = {}
+        self.queue_by_job: dict[model.JobId, model.Queue] = {}
         self.newest_version_read = 0
         self.acknowledged_version = 0
         self.start_count = 0
@@ -111,7 +135,7 @@
             1,
             1,
             messages.Membership(voters=(first.member(),)),
-            state_lib.State().encode(),
+            self._initial_state.encode(),
         )
         for host in self.hosts:
             self._start_keeper(host)
@@ -206,7 +230,7 @@
                     self._step_keeper(host, host.controller)
             for worker in self.workers:
                 self._step_worker(worker)
-            self._check_capacity()
+            self._check_limits()
 
     def _step_keeper(
         self,
@@ -222,7 +246,7 @@
         if output.needs_sync or output.after_sync:
             host.pending_syncs.append(
                 (
-                    self.now + SYNC_S,
+                    self.now + host.sync_s,
                     output,
                     controller.replica.term,
                     controller.replica.log.last_index,
@@ -379,15 +403,33 @@
         """Submits a new job of one or two steps, sometimes twice."""
         self._send_submissions(self._new_job(required_label), 0.0)
 
+    def submit_steps(
+        self, queue: model.Queue, steps: Sequence[model.StepSpec]
+    ) -> model.JobId:
+        """Submits a new job of the given steps, sometimes twice."""
+        job = self._add_job(queue, steps)
+        self._send_submissions(job, 0.0)
+        return job
+
     def submit_cancelled_job(self, delay_s: float) -> None:
         """Cancels a new job, and submits it after a delay."""
         job = self._new_job()
-        self._send_cancelling(job)
+        self.send_cancelling(job)
         self._send_submissions(job, delay_s)
 
-    def _new_job(self, required_label: str = "") -> model.JobId:
+    def _add_job(
+        self, queue: model.Queue, steps: Sequence[model.StepSpec]
+    ) -> model.JobId:
         self._job_count += 1
         job = model.JobId(f"{self._job_count:016x}")
+        self.spec_by_job[job] = model.JobSpec("payload", tuple(steps))
+        self.queue_by_job[job] = queue
+        return job
+
+    def _path(self, job: model.JobId) -> str:
+        return f"{self.queue_by_job[job].path_prefix}{job}"
+
+    def _new_job(self, required_label: str = "") -> model.JobId:
         needs = commands.Resources(1000, 100, 0)
         gang = self._rng.random() < 0.2
         steps = [
@@ -397,8 +439,7 @@
         ]
         if self._rng.random() < 0.5:
             steps.append(model.StepSpec(2, needs, 300, after=(0,)))
-        self.spec_by_job[job] = model.JobSpec("payload", tuple(steps))
-        return job
+        return self._add_job(QUEUE, steps)
 
     def _send_submissions(self, job: model.JobId, delay_s: float) -> None:
         unanswered = self._rng.choice((1, 2))
@@ -415,7 +456,9 @@
             if unanswered == 0:
                 self.refused_jobs.add(job)
 
-        request = requests.SubmitJob("host", f"/q/{job}", self.spec_by_job[job])
+        request = requests.SubmitJob(
+            "host", self._path(job), self.spec_by_job[job]
+        )
 
         def send() -> None:
             self.send_request(self._pick_host(), request, on_reply)
@@ -429,9 +472,10 @@
     def cancel_job(self) -> None:
         """Cancels a random accepted job."""
         if self.accepted_jobs:
-            self._send_cancelling(self._rng.choice(sorted(self.accepted_jobs)))
+            self.send_cancelling(self._rng.choice(sorted(self.accepted_jobs)))
 
-    def _send_cancelling(self, job: model.JobId) -> None:
+    def send_cancelling(self, job: model.JobId) -> None:
+        """Cancels a job."""
         self.cancelled_jobs.add(job)
 
         def on_reply(reply: requests.AnyReply) -> None:
@@ -444,7 +488,7 @@
 
         self.send_request(
             self._pick_host(),
-            requests.CancelJob("host", f"/q/{job}"),
+            requests.CancelJob("host", self._path(job)),
             on_reply,
         )
 
@@ -467,7 +511,7 @@
 
         self.send_request(
             self._pick_host(),
-            requests.ShowTarget("host", f"/q/{job}"),
+            requests.ShowTarget("host", self._path(job)),
             on_reply,
         )
 
@@ -487,8 +531,36 @@
             worker.incarnation + 1,
             next_report_at=self.now,
             target_host=worker.target_host,
+            service=worker.service,
+            labels=worker.labels,
+            capacity=worker.capacity,
+            disowned_until=worker.disowned_until,
         )
 
+    def send_leave(
+        self,
+        worker: simulated_processes.Worker,
+        delay_s: float,
+        names_incarnation: bool,
+    ) -> None:
+        """Sends, after a delay, that a worker has stopped all and left.
+
+        Without an incarnation this also ends the runs of a later one in the
+        keepers' state, although they go on.
+        """
+        incarnation = worker.incarnation if names_incarnation else 0
+        request = requests.WorkerLeft(worker.worker, incarnation)
+
+        def send() -> None:
+            for known in self.workers:
+                if known.worker == request.worker and not incarnation:
+                    known.disowned_until = self.now + REQUEST_S
+                    for run in known.runs.values():
+                        run.is_disowned = True
+            self.send_request(self._pick_host(), request, lambda reply: None)
+
+        self._call_later(delay_s, send)
+
     def _step_worker(self, worker: simulated_processes.Worker) -> None:
         if not worker.alive:
             return
@@ -497,7 +569,9 @@
             for task in list(worker.runs):
                 self._end_run(worker, task, model.Outcome.LOST)
         for task, run in list(worker.runs.items()):
-            if self.now >= run.ends_at:
+            if self.now >= run.stops_at:
+                self._end_run(worker, task, model.Outcome.STOPPED)
+            elif self.now >= run.ends_at:
                 outcome = model.Outcome.DONE
                 if run.fails:
                     outcome = model.Outcome.FAILED
@@ -539,18 +613,17 @@
             worker.worker,
             worker.incarnation,
             worker.sequence,
-            model.ServiceName("s"),
+            worker.service,
             "",
             "zone",
             worker.worker,
             "rack",
-            self.labels_by_worker.get(worker.worker, ()),
-            commands.Resources(4000, 1000, 0),
-            False,
+            worker.labels,
+            worker.capacity,
+            worker.draining,
             0,
             tuple(
-                requests.ActiveRun(task, run.run, "", 10)
-                for task, run in worker.runs.items()
+                self._active_run(task, run) for task, run in worker.runs.items()
             ),
             tuple(worker.ended),
         )
@@ -577,6 +650,21 @@
         if not worker.cut_off:
             self.send_request(self.hosts[worker.target_host], report, on_reply)
 
+    def _active_run(
+        self, task: model.TaskId, run: simulated_processes.Run
+    ) -> requests.ActiveRun:
+        if self._spec_of(task).runs_until_cancelled:
+            return requests.ActiveRun(
+                task, run.run, "", 100, SERVING_LATENCY_MS
+            )
+        return requests.ActiveRun(task, run.run, "", 10)
+
+    def _spec_of(self, task: model.TaskId) -> model.StepSpec:
+        parts = model.parse_task_id(task)
+        assert parts is not None
+        job, _, step, _ = parts
+        return self.spec_by_job[job].steps[step]
+
     def _apply_orders(
         self,
         worker: simulated_processes.Worker,
@@ -601,16 +689,32 @@
         for stop in orders.stops:
             run = worker.runs.get(stop.task)
             if run is not None and run.run == stop.run:
-                self._end_run(worker, stop.task, model.Outcome.STOPPED)
+                self._stop_run(worker, stop.task, run)
             worker.highest_run_by_task[stop.task] = max(
                 worker.highest_run_by_task.get(stop.task, 0), stop.run
             )
         for start in orders.starts:
             if start.run <= worker.highest_run_by_task.get(start.task, 0):
                 continue
+            known = worker.runs.get(start.task)
+            if known is not None and known.is_disowned:
+                # Starts once the earlier run has stopped.
+                continue
             worker.highest_run_by_task[start.task] = start.run
             self._start_run(worker, start)
 
+    def _stop_run(
+        self,
+        worker: simulated_processes.Worker,
+        task: model.TaskId,
+        run: simulated_processes.Run,
+    ) -> None:
+        """Ends a run now, or later if runs take time to stop."""
+        if not self.max_stop_s:
+            self._end_run(worker, task, model.Outcome.STOPPED)
+        elif run.stops_at == math.inf:
+            run.stops_at = self.now + self._rng.uniform(0.0, self.max_stop_s)
+
     def _record_acknowledged_end(self, item: requests.EndedRun) -> None:
         if item.outcome is model.Outcome.DONE:
             self.tasks_acknowledged_done.add(item.task)
@@ -625,8 +729,10 @@
         self, worker: simulated_processes.Worker, start: requests.StartOrder
     ) -> None:
         self.start_count += 1
+        is_disowned = self.now < worker.disowned_until
         for other in self.workers:
-            if other.alive and start.task in other.runs:
+            known = other.runs.get(start.task) if other.alive else None
+            if known and not (is_disowned or known.is_disowned):
                 raise InvariantViolationError(
                     f"{start.task} runs in two places"
                 )
@@ -668,17 +774,22 @@
                     raise InvariantViolationError(
                         f"{start.task} started before {name} had succeeded"
                     )
+        ends_at = self.now + self._rng.choice((0.1, 0.4, 1.0, 2.5))
+        if spec.steps[step].runs_until_cancelled:
+            ends_at = math.inf
         worker.runs[start.task] = simulated_processes.Run(
             start.run,
-            self.now + self._rng.choice((0.1, 0.4, 1.0, 2.5)),
+            ends_at,
             self._rng.random() < self.failure_share,
+            is_disowned=is_disowned,
         )
+        worker_limits.check_worker(worker, self.spec_by_job, self.queue_by_job)
 
-    def _check_capacity(self) -> None:
+    def _check_limits(self) -> None:
         for worker in self.workers:
-            if worker.alive and len(worker.runs) > 4:
-                raise InvariantViolationError(
-                    f"{worker.worker} runs more tasks than it has capacity for"
+            if worker.alive and worker.runs:
+                worker_limits.check_worker(
+                    worker, self.spec_by_job, self.queue_by_job
                 )
 
     def has_active_leader(self) -> bool:
--- a/features/support/simulated_processes.py
+++ b/features/support/simulated_processes.py
@@ -1,6 +1,7 @@
 """Hosts with their disks, and workers, of the simulated cluster."""
 
 import dataclasses
+import math
 
 from fulmarrouter import commands
 from fulmarrouter import consensus
@@ -10,6 +11,11 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
 
+# Duration of a sync to a disk that isn't slow.
+SYNC_S = 0.01
+DEFAULT_SERVICE = model.ServiceName("s")
+CAPACITY = commands.Resources(4000, 1000, 0)
+
 
 @dataclasses.dataclass
 class Disk:
@@ -44,6 +50,7 @@
         cut_off: Whether nothing reaches the host.
         isolated: Whether other hosts don't reach it; workers and callers do.
         frozen_until: Time until which the process is paused.
+        sync_s: Duration of a sync to its disk.
         pending_syncs: Outputs that are being written: when each is synced, the
             output, and the term and last log index that it makes durable.
     """
@@ -56,6 +63,7 @@
         self.cut_off = False
         self.isolated = False
         self.frozen_until = 0.0
+        self.sync_s = SYNC_S
         self.pending_syncs: list[tuple[float, consensus.Output, int, int]] = []
 
     @property
@@ -80,11 +88,19 @@
 
 @dataclasses.dataclass
 class Run:
-    """A run of a task on a worker."""
+    """A run of a task on a worker.
+
+    Attributes:
+        stops_at: When it ends because it was ordered to stop.
+        is_disowned: Whether another process may have said that the worker had
+            left while it went on. The task may then run elsewhere too.
+    """
 
     run: int
     ends_at: float
     fails: bool
+    stops_at: float = math.inf
+    is_disowned: bool = False
 
 
 @dataclasses.dataclass
@@ -92,6 +108,9 @@
     """A fake worker that follows the worker protocol.
 
     Attributes:
+        draining: Whether it reports that it will leave.
+        disowned_until: Until then, a request may arrive by which another
+            process says that the worker has left.
         lease_until: Time until which it may run tasks.
         highest_token: Highest fencing token of the orders applied so far.
         ended: Ended runs that the leader has not acknowledged yet.
@@ -119,3 +138,8 @@
     next_report_at: float = 0.0
     awaiting_reply_since: float | None = None
     target_host: int = 0
+    service: model.ServiceName = DEFAULT_SERVICE
+    labels: tuple[str, ...] = ()
+    capacity: commands.Resources = CAPACITY
+    draining: bool = False
+    disowned_until: float = 0.0
