Run histories of tasks that may not run on every worker

Cause: in the histories a sync took 10 ms and no job had a limit per worker, so no decision was made while a command that mattered to it awaited its commit. Change: a kind of history with assignments that are applied 60 ms to 6.5 s after they were planned (half of them within 80 ms, a tenth after more than 1.2 s), jobs with limits, labels and two services, serving tasks that move, workers that restart as another kind, drain, leave, or are said to have left, and stops that take up to 0.4 s. What a move concerns is disturbed: its new worker or the workers of the other tasks of its step restart. Five mutations, and histories in assignments.feature.

--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -48,3 +48,26 @@
       | event                                         |
       | an earlier run of the task has ended as done  |
       | another process has said that the worker left |
+
+  # The histories contain the conditions above: slow commits, moves, workers that
+  # restart as another kind, drain and leave, and runs that take time to stop.
+  Scenario Outline: Tasks that may not run on every worker, seeds <first> to <last>
+    When cluster histories <first> to <last> of tasks that may not run on every worker are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 0     | 39   |
+      | 69    | 90   |
+
+  Scenario Outline: The histories detect that <mechanism>
+    When cluster histories of tasks that may not run on every worker are run from seed <first> on while <mechanism>
+    Then at least one history violates an invariant
+
+    Examples:
+      | first | mechanism                                                |
+      | 0     | only applied assignments count for the limit per worker  |
+      | 18    | the limits are not checked when a task is assigned       |
+      | 32    | the reservation of a moved task ends with its move       |
+      | 2     | runs that are no longer wanted do not count              |
+      | 99    | planned tasks do not count for the capacity of a move    |
--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -1,7 +1,9 @@
 """Steps that run histories of a simulated cluster, with and without mutations."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import contextlib
 from typing import Any
 from unittest import mock
@@ -11,14 +13,21 @@
 
 from features.support import cluster_scenarios
 from features.support import cluster_simulation
+from features.support import limit_scenarios
 from fulmarrouter import codes
+from fulmarrouter import commands
 from fulmarrouter import consensus
 from fulmarrouter import messages
+from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import controller
 from fulmarrouter.cluster import dispatcher
+from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import job_requests
 from fulmarrouter.cluster import membership
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import planner
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import reservations as reservations_lib
 from fulmarrouter.cluster import state as state_lib
 
 # Histories with a mutation are run until one violates an invariant, at most
@@ -39,6 +48,9 @@
     "of jobs that are cancelled before they arrive": (
         cluster_scenarios.run_early_cancellings
     ),
+    "of tasks that may not run on every worker": (
+        limit_scenarios.run_limited_steps
+    ),
 }
 
 
@@ -158,6 +170,50 @@
     return True
 
 
+def _count_applied(
+    state: state_lib.State,
+    fleet: fleet_lib.Fleet,
+    reserved_by_index: Mapping[int, reservations_lib.Reservation],
+    key: state_lib.StepKey,
+) -> dict[model.WorkerId, int]:
+    """Counts the applied assignments of a step only."""
+    del fleet, reserved_by_index
+    step = state.find_step(key)
+    assert step is not None
+    return dict(
+        collections.Counter(
+            model.WorkerId(task.worker)
+            for task in step.tasks
+            if task.phase is model.TaskPhase.ASSIGNED
+        )
+    )
+
+
+def _count_wanted(
+    state: state_lib.State,
+    fleet: fleet_lib.Fleet,
+    reserved_by_index: Mapping[int, reservations_lib.Reservation],
+    key: state_lib.StepKey,
+) -> dict[model.WorkerId, int]:
+    """Counts applied and planned assignments, not what is being stopped."""
+    counts = collections.Counter(
+        _count_applied(state, fleet, reserved_by_index, key)
+    )
+    counts.update(item.worker for item in reserved_by_index.values())
+    return dict(counts)
+
+
+def _refuse_nothing(*args: Any) -> None:
+    del args
+
+
+def _subtract_nothing(
+    view: fleet_lib.WorkerView, specs: Iterable[model.StepSpec]
+) -> commands.Resources:
+    del specs
+    return view.free_resources()
+
+
 # Each mutation's target, the attribute that it replaces, and the replacement.
 MUTATION_BY_NAME: dict[str, tuple[Any, str, Any]] = {
     "leases are ended early": (
@@ -195,6 +251,31 @@
         "_is_ready",
         _always_ready,
     ),
+    "only applied assignments count for the limit per worker": (
+        assignment_limits,
+        "count_by_worker",
+        _count_applied,
+    ),
+    "the limits are not checked when a task is assigned": (
+        assignment_limits,
+        "refusal",
+        _refuse_nothing,
+    ),
+    "the reservation of a moved task ends with its move": (
+        reservations_lib.Reservations,
+        "cancel_move",
+        reservations_lib.Reservations.remove,
+    ),
+    "runs that are no longer wanted do not count": (
+        assignment_limits,
+        "count_by_worker",
+        _count_wanted,
+    ),
+    "planned tasks do not count for the capacity of a move": (
+        planner,
+        "_subtract_claims",
+        _subtract_nothing,
+    ),
 }
 
 
@@ -216,6 +297,23 @@
             return
 
 
+@when(
+    "cluster histories {kind} are run from seed {first:d} on while {mechanism}"
+)
+def step_run_mutated_kind(
+    context: Any, kind: str, first: int, mechanism: str
+) -> None:
+    target, name, replacement = MUTATION_BY_NAME[mechanism]
+    context.failing_seeds = []
+    with mock.patch.object(target, name, replacement):
+        for seed in range(first, first + MUTATION_SEEDS):
+            context.failing_seeds = _collect_failing_seeds(
+                HISTORY_BY_KIND[kind], (seed,)
+            )
+            if context.failing_seeds:
+                return
+
+
 @then("at least one history violates an invariant")
 def step_some_violation(context: Any) -> None:
     assert context.failing_seeds
