--- a/features/support/cluster_scenarios.py
+++ b/features/support/cluster_scenarios.py
@@ -7,6 +7,7 @@
 import random
 
 from features.support import cluster_simulation
+from features.support import simulated_keepers
 from features.support import simulated_processes
 
 
@@ -115,7 +116,7 @@
             simulation.acknowledged_version < version
             and simulation.now < deadline
         ):
-            simulation.run_until(simulation.now + cluster_simulation.TICK_S)
+            simulation.run_until(simulation.now + simulated_keepers.TICK_S)
         wiped_host = rng.choice(simulation.hosts)
         for host in simulation.hosts:
             simulation.crash(host, wipe=host is wiped_host)
--- a/features/support/cluster_simulation.py
+++ b/features/support/cluster_simulation.py
@@ -9,30 +9,17 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
-import heapq
-import itertools
 import math
-import random
-from typing import Any
 
+from features.support import simulated_keepers
 from features.support import simulated_processes
 from features.support import worker_limits
 from fulmarrouter import codes
 from fulmarrouter import commands
-from fulmarrouter import consensus
-from fulmarrouter import ids
-from fulmarrouter import messages
-from fulmarrouter import raft_log
-from fulmarrouter.cluster import controller as controller_lib
-from fulmarrouter.cluster import dispatcher
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
-from fulmarrouter.cluster import state as state_lib
 
-# Simulated seconds between two runs of every process.
-TICK_S = 0.02
-LEASE_S = 3.0
 # How long a worker waits for a reply before it reports to another host.
 WORKER_TIMEOUT_S = 1.0
 QUEUE = model.Queue(
@@ -44,7 +31,6 @@
     0,
     3,
 )
-CONTROL_PORT = 8080
 # Tail latency that serving tasks report.
 SERVING_LATENCY_MS = 50
 
@@ -57,8 +43,8 @@
 InvariantViolationError = worker_limits.InvariantViolationError
 
 
-class ClusterSimulation:
-    """The simulated cluster, and what its callers and workers have seen.
+class ClusterSimulation(simulated_keepers.KeeperSimulation):
+    """The simulated keepers, callers and workers, and what they have seen.
 
     Args:
         seed: Seed of all that is random.
@@ -66,12 +52,8 @@
         effects: Interference effects that the keepers know from the start.
 
     Attributes:
-        loss: Probability that a message between hosts, or a reply to a request,
-            is lost. Messages between hosts are also delayed with this
-            probability, and duplicated with half of it.
         failure_share: Share of the runs that fail.
         max_stop_s: Longest time that a run goes on after an order to stop it.
-        avoided_host: Host to which no caller sends a request by chance.
         accepted_jobs: Jobs whose submission was accepted.
         refused_jobs: Jobs of which each submission was refused.
         cancelling_answered_at: When a cancelling was first answered.
@@ -91,23 +73,13 @@
         workers: Sequence[simulated_processes.Worker] = (),
         effects: Iterable[log_commands.InterferenceEffect] = (),
     ) -> None:
-        self._rng = random.Random(seed)
-        self.now = 0.0
-        self._event_order = itertools.count()
-        self._events: list[tuple[float, int, Any]] = []
-        self.hosts = [
-            simulated_processes.Host(number) for number in range(1, 5)
-        ]
+        super().__init__(seed, effects)
         self.workers = list(workers) or [
             simulated_processes.Worker(model.WorkerId(f"w{n}"))
             for n in range(4)
         ]
-        self._initial_state = state_lib.State()
-        self._initial_state.apply(1, log_commands.KeepEffects(tuple(effects)))
-        self.loss = 0.0
         self.failure_share = 0.1
         self.max_stop_s = 0.0
-        self.avoided_host: simulated_processes.Host | None = None
         self.accepted_jobs: set[model.JobId] = set()
         self.refused_jobs: set[model.JobId] = set()
         self.cancelled_jobs: set[model.JobId] = set()
@@ -122,232 +94,6 @@
         self.acknowledged_version = 0
         self.start_count = 0
         self._job_count = 0
-        self._call_ids = itertools.count(1)
-        self._callback_by_call: dict[int, Any] = {}
-        self._bootstrap()
-
-    # Set-up.
-
-    def _bootstrap(self) -> None:
-        """Starts all keepers; the first is the only voter, the others join."""
-        first = self.hosts[0]
-        first.disk.snapshot = raft_log.SnapshotData(
-            1,
-            1,
-            messages.Membership(voters=(first.member(),)),
-            self._initial_state.encode(),
-        )
-        for host in self.hosts:
-            self._start_keeper(host)
-
-    def _start_keeper(self, host: simulated_processes.Host) -> None:
-        saved = consensus.PersistentState(
-            host.disk.hard_state,
-            host.disk.snapshot,
-            tuple(
-                item
-                for item in host.disk.entries
-                if item.index > host.disk.snapshot.last_index
-            ),
-        )
-        replica = consensus.Replica(
-            host.disk.keeper,
-            saved,
-            consensus.Timing(),
-            random.Random(self._rng.random()),
-            self.now,
-        )
-        host.controller = controller_lib.Controller(
-            replica,
-            controller_lib.ControllerSettings(3, CONTROL_PORT),
-            dispatcher.DispatchSettings(lease_s=LEASE_S),
-        )
-        host.pending_syncs = []
-
-    def crash(self, host: simulated_processes.Host, wipe: bool) -> None:
-        """Ends a keeper's process, which loses what was not synced.
-
-        With `wipe` its disk is lost too, and the host gets a new one.
-        """
-        host.controller = None
-        host.pending_syncs = []
-        if wipe:
-            host.disk_generation += 1
-            host.disk = simulated_processes.Disk(
-                f"k{host.number}-{host.disk_generation}"
-            )
-
-    def restart(self, host: simulated_processes.Host) -> None:
-        """Starts a keeper that is down from what its disk holds."""
-        if host.controller is None:
-            self._start_keeper(host)
-
-    # Network.
-
-    def _call_later(self, delay: float, action: Any) -> None:
-        heapq.heappush(
-            self._events, (self.now + delay, next(self._event_order), action)
-        )
-
-    def _deliver(
-        self,
-        source: simulated_processes.Host,
-        target: simulated_processes.Host,
-        action: Any,
-    ) -> None:
-        if self._rng.random() < self.loss:
-            return
-        copies = 2 if self._rng.random() < self.loss / 2 else 1
-        for _ in range(copies):
-            delay = self._rng.uniform(0.001, 0.005)
-            if self._rng.random() < self.loss:
-                delay += self._rng.uniform(0, 0.3)
-
-            def arrive() -> None:
-                if source.is_partitioned or target.is_partitioned:
-                    return
-                if target.controller is not None:
-                    action(target)
-
-            self._call_later(delay, arrive)
-
-    def _host_of(self, keeper: str) -> simulated_processes.Host | None:
-        for host in self.hosts:
-            if host.disk.keeper == keeper:
-                return host
-        return None
-
-    # Time.
-
-    def run_until(self, end: float) -> None:
-        """Advances simulated time to `end`."""
-        while self.now < end:
-            self.now += TICK_S
-            while self._events and self._events[0][0] <= self.now:
-                heapq.heappop(self._events)[2]()
-            for host in self.hosts:
-                if host.controller and self.now >= host.frozen_until:
-                    self._step_keeper(host, host.controller)
-            for worker in self.workers:
-                self._step_worker(worker)
-            self._check_limits()
-
-    def _step_keeper(
-        self,
-        host: simulated_processes.Host,
-        controller: controller_lib.Controller,
-    ) -> None:
-        wall = int(self.now * 1000)
-        self._send_join(host, controller)
-        controller.tick(self.now, wall)
-        output = controller.replica.take_output()
-        for outbound in output.before_sync:
-            self._send_message(host, outbound)
-        if output.needs_sync or output.after_sync:
-            host.pending_syncs.append(
-                (
-                    self.now + host.sync_s,
-                    output,
-                    controller.replica.term,
-                    controller.replica.log.last_index,
-                )
-            )
-        durable: int | None = None
-        while host.pending_syncs and host.pending_syncs[0][0] <= self.now:
-            _, written, term, last_index = host.pending_syncs.pop(0)
-            host.disk.store(written)
-            for outbound in written.after_sync:
-                self._send_message(host, outbound)
-            if term == controller.replica.term:
-                durable = last_index
-        for answered in controller.apply_committed(self.now, wall, durable):
-            self._send_reply(host, answered)
-
-    def _send_join(
-        self,
-        host: simulated_processes.Host,
-        controller: controller_lib.Controller,
-    ) -> None:
-        """Announces a keeper to each other host, one tick in ten on average."""
-        request = requests.Join(
-            host.member(), "zone", controller.replica.is_blank, False
-        )
-        for other in self.hosts:
-            if other is host or self._rng.random() > 0.1:
-                continue
-
-            def join(target: simulated_processes.Host) -> None:
-                assert target.controller is not None
-                if target.controller.is_active_leader:
-                    client = controller_lib.Client(ids.ConnectionId(0), 0)  # type: ignore[arg-type]
-                    target.controller.on_request(self.now, 0, client, request)
-
-            self._deliver(host, other, join)
-
-    def _send_message(
-        self, host: simulated_processes.Host, outbound: consensus.Outbound
-    ) -> None:
-        target = self._host_of(outbound.to)
-        if target is None:
-            return
-        sender = host.disk.keeper
-
-        def arrive(receiver: simulated_processes.Host) -> None:
-            assert receiver.controller is not None
-            if receiver.disk.keeper == outbound.to:
-                receiver.controller.on_message(
-                    self.now, sender, outbound.message
-                )
-
-        self._deliver(host, target, arrive)
-
-    def _send_reply(
-        self, host: simulated_processes.Host, answered: controller_lib.Answered
-    ) -> None:
-        callback = self._callback_by_call.pop(int(answered.client.call), None)
-        if callback is None or self._rng.random() < self.loss:
-            return
-        if not host.cut_off:
-            self._call_later(0.002, lambda: callback(answered.reply))
-
-    def send_request(
-        self,
-        host: simulated_processes.Host,
-        request: requests.AnyRequest,
-        callback: Any,
-    ) -> None:
-        """Sends a request of a caller, an operator or a worker to a host."""
-        if host.controller is None or host.cut_off:
-            return
-        call = next(self._call_ids)
-        self._callback_by_call[call] = callback
-        client = controller_lib.Client(ids.ConnectionId(1), ids.CallId(call))
-
-        def arrive() -> None:
-            if host.controller is not None and not host.cut_off:
-                host.controller.on_request(
-                    self.now, int(self.now * 1000), client, request
-                )
-
-        self._call_later(self._rng.uniform(0.001, 0.005), arrive)
-
-    def _pick_host(self) -> simulated_processes.Host:
-        """Returns the host that a request is sent to.
-
-        In 9 of 10 cases it is one that considers itself the leader, if any.
-        """
-        leading = [
-            host
-            for host in self.hosts
-            if host.controller is not None
-            and host.controller.is_active_leader
-            and host is not self.avoided_host
-        ]
-        if leading and self._rng.random() < 0.9:
-            return self._rng.choice(leading)
-        return self._rng.choice(
-            [host for host in self.hosts if host is not self.avoided_host]
-        )
 
     # Callers and operators.
 
@@ -366,7 +112,7 @@
                 )
 
         self.send_request(
-            self._pick_host(),
+            self.pick_host(),
             requests.ReplaceConfiguration(configuration),
             on_reply,
         )
@@ -394,7 +140,7 @@
                 )
 
         self.send_request(
-            host or self._pick_host(),
+            host or self.pick_host(),
             requests.ReadConfiguration(),
             on_reply,
         )
@@ -461,11 +207,11 @@
         )
 
         def send() -> None:
-            self.send_request(self._pick_host(), request, on_reply)
+            self.send_request(self.pick_host(), request, on_reply)
 
         for _ in range(unanswered):
             if delay_s:
-                self._call_later(delay_s, send)
+                self.call_later(delay_s, send)
             else:
                 send()
 
@@ -487,7 +233,7 @@
                 self.cancelling_answered_at.setdefault(job, self.now)
 
         self.send_request(
-            self._pick_host(),
+            self.pick_host(),
             requests.CancelJob("host", self._path(job)),
             on_reply,
         )
@@ -510,13 +256,18 @@
                 self.jobs_shown_done.add(job)
 
         self.send_request(
-            self._pick_host(),
+            self.pick_host(),
             requests.ShowTarget("host", self._path(job)),
             on_reply,
         )
 
     # Workers.
 
+    def _step_workers(self) -> None:
+        for worker in self.workers:
+            self._step_worker(worker)
+        self._check_limits()
+
     def kill_worker(self, worker: simulated_processes.Worker) -> None:
         """Ends a worker's process and all its tasks."""
         worker.alive = False
@@ -557,9 +308,9 @@
                     known.disowned_until = self.now + REQUEST_S
                     for run in known.runs.values():
                         run.is_disowned = True
-            self.send_request(self._pick_host(), request, lambda reply: None)
+            self.send_request(self.pick_host(), request, lambda reply: None)
 
-        self._call_later(delay_s, send)
+        self.call_later(delay_s, send)
 
     def _step_worker(self, worker: simulated_processes.Worker) -> None:
         if not worker.alive:
@@ -792,13 +543,6 @@
                     worker, self.spec_by_job, self.queue_by_job
                 )
 
-    def has_active_leader(self) -> bool:
-        """Returns whether a keeper leads and does the leader's work."""
-        return any(
-            host.controller is not None and host.controller.is_active_leader
-            for host in self.hosts
-        )
-
     def quiesce(self, seconds: float = 25.0) -> None:
         """Ends all faults and checks that the cluster recovers.
 
