Run histories of gangs with a limit per worker

Change: the histories of tasks that may not run on every worker, with gangs and more crashes of the leader.

--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -60,6 +60,14 @@
       | 0     | 39   |
       | 69    | 90   |
 
+  Scenario Outline: Gangs that may not run on every worker, seeds <first> to <last>
+    When cluster histories <first> to <last> of gangs that may not run on every worker are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 0     | 9    |
+
   Scenario Outline: The histories detect that <mechanism>
     When cluster histories of tasks that may not run on every worker are run from seed <first> on while <mechanism>
     Then at least one history violates an invariant
--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -51,6 +51,9 @@
     "of tasks that may not run on every worker": (
         limit_scenarios.run_limited_steps
     ),
+    "of gangs that may not run on every worker": (
+        limit_scenarios.run_limited_gangs
+    ),
 }
 
 
--- a/features/support/limit_scenarios.py
+++ b/features/support/limit_scenarios.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import random
 
 from features.support import cluster_scenarios
@@ -63,11 +64,15 @@
 class LimitHistory:
     """A simulation and what its events need to know.
 
+    Args:
+        seed: Seed of all that is random.
+        events: What may happen.
+
     Attributes:
         serving_jobs: Jobs of serving tasks that have not been cancelled.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, events: Sequence[Event]) -> None:
         workers = [
             simulated_processes.Worker(
                 model.WorkerId(f"w{number}"),
@@ -83,6 +88,7 @@
         self.rng = random.Random(seed * 7919 + 7)
         self.simulation.max_stop_s = MAX_STOP_S
         self.simulation.failure_share = FAILURE_SHARE
+        self._events = events
         self.serving_jobs: list[model.JobId] = []
         self._seen_moves: set[model.TaskId] = set()
         self._planned: list[tuple[float, Callable[[], None]]] = []
@@ -96,7 +102,7 @@
         for _ in range(6):
             submit_serving_job(self)
         for _ in range(steps):
-            self.rng.choice(EVENTS)(self)
+            self.rng.choice(self._events)(self)
             end = simulation.now + self.rng.choice((0.1, 0.3, 0.6, 1.5))
             while simulation.now < end:
                 simulation.run_until(simulation.now + 0.1)
@@ -214,7 +220,21 @@
     Raises:
         InvariantViolationError: An invariant does not hold.
     """
-    history = LimitHistory(seed)
+    history = LimitHistory(seed, EVENTS)
+    history.run(steps)
+    return history.simulation
+
+
+def run_limited_gangs(
+    seed: int, steps: int = 80
+) -> cluster_simulation.ClusterSimulation:
+    """Runs such a history with gangs of tasks and more leaders that crash.
+
+    Raises:
+        InvariantViolationError: An invariant does not hold.
+    """
+    events = [*EVENTS, *[submit_limited_gang] * 4, *[crash_leader] * 2]
+    history = LimitHistory(seed, events)
     history.run(steps)
     return history.simulation
 
@@ -242,6 +262,18 @@
     history.simulation.submit_steps(rng.choice(QUEUES), steps)
 
 
+def submit_limited_gang(history: LimitHistory) -> None:
+    step = model.StepSpec(
+        history.rng.choice((2, 3)),
+        TASK_NEEDS,
+        300,
+        gang=True,
+        max_per_worker=history.rng.choice((1, 2)),
+        required_label=history.rng.choice(("", LABEL)),
+    )
+    history.simulation.submit_steps(history.rng.choice(QUEUES), [step])
+
+
 @_event(2)
 def submit_filling_job(history: LimitHistory) -> None:
     step = model.StepSpec(
@@ -382,6 +414,16 @@
     cluster_scenarios.inject_keeper_fault(history.simulation, history.rng)
 
 
+def crash_leader(history: LimitHistory) -> None:
+    """Crashes the leader, unless another keeper has a fault."""
+    hosts = history.simulation.hosts
+    if any(host.controller is None or host.is_partitioned for host in hosts):
+        return
+    for host in hosts:
+        if host.controller is not None and host.controller.is_active_leader:
+            history.simulation.crash(host, wipe=False)
+
+
 @_event(2)
 def end_keeper_faults(history: LimitHistory) -> None:
     for host in history.simulation.hosts:
