--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -71,3 +71,31 @@
       | kind                       | assigned | ended |
       | with a limit per worker    | 1        | 1     |
       | that may run on any worker | 0        | 0     |
+
+  # The histories contain the conditions above: slow commits, moves, workers that
+  # restart as another kind, drain and leave, and runs that take time to stop.
+  Scenario Outline: Tasks that may not run on every worker, seeds <first> to <last>
+    When cluster histories <first> to <last> of tasks that may not run on every worker are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 0     | 39   |
+      | 69    | 90   |
+
+  Scenario Outline: Gangs that may not run on every worker, seeds <first> to <last>
+    When cluster histories <first> to <last> of gangs that may not run on every worker are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 0     | 9    |
+
+  Scenario Outline: The histories detect that <mechanism>
+    When cluster histories of tasks that may not run on every worker are run from seed <first> on while <mechanism>
+    Then at least one history violates an invariant
+
+    Examples:
+      | first | mechanism                                                |
+      | 0     | only applied assignments count for the limit per worker  |
+      | 18    | the limits are not checked when a task is assigned       |
--- a/features/support/cluster_simulation.py
+++ b/features/support/cluster_simulation.py
@@ -7,55 +7,53 @@
 not from the keepers' state.
 """
 
-import heapq
-import itertools
-import random
-from typing import Any
+from collections.abc import Iterable
+from collections.abc import Sequence
+import math
 
+from features.support import simulated_keepers
 from features.support import simulated_processes
+from features.support import worker_limits
 from fulmarrouter import codes
 from fulmarrouter import commands
-from fulmarrouter import consensus
-from fulmarrouter import ids
-from fulmarrouter import messages
-from fulmarrouter import raft_log
-from fulmarrouter.cluster import controller as controller_lib
-from fulmarrouter.cluster import dispatcher
+from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
-from fulmarrouter.cluster import state as state_lib
 
-# Simulated seconds between two runs of every process.
-TICK_S = 0.02
-# Duration of a sync to disk.
-SYNC_S = 0.01
-LEASE_S = 3.0
 # How long a worker waits for a reply before it reports to another host.
 WORKER_TIMEOUT_S = 1.0
 QUEUE = model.Queue(
-    model.QueueName("q"), "host", "/q/", model.ServiceName("s"), 3000, 0, 3
+    model.QueueName("q"),
+    "host",
+    "/q/",
+    simulated_processes.DEFAULT_SERVICE,
+    3000,
+    0,
+    3,
 )
-CONTROL_PORT = 8080
+# Tail latency that serving tasks report.
+SERVING_LATENCY_MS = 50
 
 # A task of a cancelled job may start for this long after the answer, by orders that
 # were on their way.
 CANCELLING_S = 1.0
+# Time for which a request may be on its way.
+REQUEST_S = 1.0
 
+InvariantViolationError = worker_limits.InvariantViolationError
 
-class InvariantViolationError(AssertionError):
-    """An invariant of the cluster does not hold."""
 
+class ClusterSimulation(simulated_keepers.KeeperSimulation):
+    """The simulated keepers, callers and workers, and what they have seen.
 
-class ClusterSimulation:
-    """The simulated cluster, and what its callers and workers have seen.
+    Args:
+        seed: Seed of all that is random.
+        workers: The workers; four alike by default.
+        effects: Interference effects that the keepers know from the start.
 
     Attributes:
-        loss: Probability that a message between hosts, or a reply to a request,
-            is lost. Messages between hosts are also delayed with this
-            probability, and duplicated with half of it.
         failure_share: Share of the runs that fail.
-        labels_by_worker: Labels of the workers that have any.
-        avoided_host: Host to which no caller sends a request by chance.
+        max_stop_s: Longest time that a run goes on after an order to stop it.
         accepted_jobs: Jobs whose submission was accepted.
         refused_jobs: Jobs of which each submission was refused.
         cancelling_answered_at: When a cancelling was first answered.
@@ -69,22 +67,19 @@
         start_count: How many tasks have been started.
     """
 
-    def __init__(self, seed: int) -> None:
-        self._rng = random.Random(seed)
-        self.now = 0.0
-        self._event_order = itertools.count()
-        self._events: list[tuple[float, int, Any]] = []
-        self.hosts = [
-            simulated_processes.Host(number) for number in range(1, 5)
-        ]
-        self.workers = [
+    def __init__(
+        self,
+        seed: int,
+        workers: Sequence[simulated_processes.Worker] = (),
+        effects: Iterable[log_commands.InterferenceEffect] = (),
+    ) -> None:
+        super().__init__(seed, effects)
+        self.workers = list(workers) or [
             simulated_processes.Worker(model.WorkerId(f"w{n}"))
             for n in range(4)
         ]
-        self.loss = 0.0
         self.failure_share = 0.1
-        self.labels_by_worker: dict[model.WorkerId, tuple[str, ...]] = {}
-        self.avoided_host: simulated_processes.Host | None = None
+        self.max_stop_s = 0.0
         self.accepted_jobs: set[model.JobId] = set()
         self.refused_jobs: set[model.JobId] = set()
         self.cancelled_jobs: set[model.JobId] = set()
@@ -94,236 +89,11 @@
         self.tasks_acknowledged_done: set[model.TaskId] = set()
         self.acknowledged_failures_by_task: dict[model.TaskId, int] = {}
         self.spec_by_job: dict[model.JobId, model.JobSpec] = {}
+        self.queue_by_job: dict[model.JobId, model.Queue] = {}
         self.newest_version_read = 0
         self.acknowledged_version = 0
         self.start_count = 0
         self._job_count = 0
-        self._call_ids = itertools.count(1)
-        self._callback_by_call: dict[int, Any] = {}
-        self._bootstrap()
-
-    # Set-up.
-
-    def _bootstrap(self) -> None:
-        """Starts all keepers; the first is the only voter, the others join."""
-        first = self.hosts[0]
-        first.disk.snapshot = raft_log.SnapshotData(
-            1,
-            1,
-            messages.Membership(voters=(first.member(),)),
-            state_lib.State().encode(),
-        )
-        for host in self.hosts:
-            self._start_keeper(host)
-
-    def _start_keeper(self, host: simulated_processes.Host) -> None:
-        saved = consensus.PersistentState(
-            host.disk.hard_state,
-            host.disk.snapshot,
-            tuple(
-                item
-                for item in host.disk.entries
-                if item.index > host.disk.snapshot.last_index
-            ),
-        )
-        replica = consensus.Replica(
-            host.disk.keeper,
-            saved,
-            consensus.Timing(),
-            random.Random(self._rng.random()),
-            self.now,
-        )
-        host.controller = controller_lib.Controller(
-            replica,
-            controller_lib.ControllerSettings(3, CONTROL_PORT),
-            dispatcher.DispatchSettings(lease_s=LEASE_S),
-        )
-        host.pending_syncs = []
-
-    def crash(self, host: simulated_processes.Host, wipe: bool) -> None:
-        """Ends a keeper's process, which loses what was not synced.
-
-        With `wipe` its disk is lost too, and the host gets a new one.
-        """
-        host.controller = None
-        host.pending_syncs = []
-        if wipe:
-            host.disk_generation += 1
-            host.disk = simulated_processes.Disk(
-                f"k{host.number}-{host.disk_generation}"
-            )
-
-    def restart(self, host: simulated_processes.Host) -> None:
-        """Starts a keeper that is down from what its disk holds."""
-        if host.controller is None:
-            self._start_keeper(host)
-
-    # Network.
-
-    def _call_later(self, delay: float, action: Any) -> None:
-        heapq.heappush(
-            self._events, (self.now + delay, next(self._event_order), action)
-        )
-
-    def _deliver(
-        self,
-        source: simulated_processes.Host,
-        target: simulated_processes.Host,
-        action: Any,
-    ) -> None:
-        if self._rng.random() < self.loss:
-            return
-        copies = 2 if self._rng.random() < self.loss / 2 else 1
-        for _ in range(copies):
-            delay = self._rng.uniform(0.001, 0.005)
-            if self._rng.random() < self.loss:
-                delay += self._rng.uniform(0, 0.3)
-
-            def arrive() -> None:
-                if source.is_partitioned or target.is_partitioned:
-                    return
-                if target.controller is not None:
-                    action(target)
-
-            self._call_later(delay, arrive)
-
-    def _host_of(self, keeper: str) -> simulated_processes.Host | None:
-        for host in self.hosts:
-            if host.disk.keeper == keeper:
-                return host
-        return None
-
-    # Time.
-
-    def run_until(self, end: float) -> None:
-        """Advances simulated time to `end`."""
-        while self.now < end:
-            self.now += TICK_S
-            while self._events and self._events[0][0] <= self.now:
-                heapq.heappop(self._events)[2]()
-            for host in self.hosts:
-                if host.controller and self.now >= host.frozen_until:
-                    self._step_keeper(host, host.controller)
-            for worker in self.workers:
-                self._step_worker(worker)
-            self._check_capacity()
-
-    def _step_keeper(
-        self,
-        host: simulated_processes.Host,
-        controller: controller_lib.Controller,
-    ) -> None:
-        wall = int(self.now * 1000)
-        self._send_join(host, controller)
-        controller.tick(self.now, wall)
-        output = controller.replica.take_output()
-        for outbound in output.before_sync:
-            self._send_message(host, outbound)
-        if output.needs_sync or output.after_sync:
-            host.pending_syncs.append(
-                (
-                    self.now + SYNC_S,
-                    output,
-                    controller.replica.term,
-                    controller.replica.log.last_index,
-                )
-            )
-        durable: int | None = None
-        while host.pending_syncs and host.pending_syncs[0][0] <= self.now:
-            _, written, term, last_index = host.pending_syncs.pop(0)
-            host.disk.store(written)
-            for outbound in written.after_sync:
-                self._send_message(host, outbound)
-            if term == controller.replica.term:
-                durable = last_index
-        for answered in controller.apply_committed(self.now, wall, durable):
-            self._send_reply(host, answered)
-
-    def _send_join(
-        self,
-        host: simulated_processes.Host,
-        controller: controller_lib.Controller,
-    ) -> None:
-        """Announces a keeper to each other host, one tick in ten on average."""
-        request = requests.Join(
-            host.member(), "zone", controller.replica.is_blank, False
-        )
-        for other in self.hosts:
-            if other is host or self._rng.random() > 0.1:
-                continue
-
-            def join(target: simulated_processes.Host) -> None:
-                assert target.controller is not None
-                if target.controller.is_active_leader:
-                    client = controller_lib.Client(ids.ConnectionId(0), 0)  # type: ignore[arg-type]
-                    target.controller.on_request(self.now, 0, client, request)
-
-            self._deliver(host, other, join)
-
-    def _send_message(
-        self, host: simulated_processes.Host, outbound: consensus.Outbound
-    ) -> None:
-        target = self._host_of(outbound.to)
-        if target is None:
-            return
-        sender = host.disk.keeper
-
-        def arrive(receiver: simulated_processes.Host) -> None:
-            assert receiver.controller is not None
-            if receiver.disk.keeper == outbound.to:
-                receiver.controller.on_message(
-                    self.now, sender, outbound.message
-                )
-
-        self._deliver(host, target, arrive)
-
-    def _send_reply(
-        self, host: simulated_processes.Host, answered: controller_lib.Answered
-    ) -> None:
-        callback = self._callback_by_call.pop(int(answered.client.call), None)
-        if callback is None or self._rng.random() < self.loss:
-            return
-        if not host.cut_off:
-            self._call_later(0.002, lambda: callback(answered.reply))
-
-    def send_request(
-        self,
-        host: simulated_processes.Host,
-        request: requests.AnyRequest,
-        callback: Any,
-    ) -> None:
-        """Sends a request of a caller, an operator or a worker to a host."""
-        if host.controller is None or host.cut_off:
-            return
-        call = next(self._call_ids)
-        self._callback_by_call[call] = callback
-        client = controller_lib.Client(ids.ConnectionId(1), ids.CallId(call))
-
-        def arrive() -> None:
-            if host.controller is not None and not host.cut_off:
-                host.controller.on_request(
-                    self.now, int(self.now * 1000), client, request
-                )
-
-        self._call_later(self._rng.uniform(0.001, 0.005), arrive)
-
-    def _pick_host(self) -> simulated_processes.Host:
-        """Returns the host that a request is sent to.
-
-        In 9 of 10 cases it is one that considers itself the leader, if any.
-        """
-        leading = [
-            host
-            for host in self.hosts
-            if host.controller is not None
-            and host.controller.is_active_leader
-            and host is not self.avoided_host
-        ]
-        if leading and self._rng.random() < 0.9:
-            return self._rng.choice(leading)
-        return self._rng.choice(
-            [host for host in self.hosts if host is not self.avoided_host]
-        )
 
     # Callers and operators.
 
@@ -342,7 +112,7 @@
                 )
 
         self.send_request(
-            self._pick_host(),
+            self.pick_host(),
             requests.ReplaceConfiguration(configuration),
             on_reply,
         )
@@ -370,7 +140,7 @@
                 )
 
         self.send_request(
-            host or self._pick_host(),
+            host or self.pick_host(),
             requests.ReadConfiguration(),
             on_reply,
         )
@@ -379,15 +149,33 @@
         """Submits a new job of one or two steps, sometimes twice."""
         self._send_submissions(self._new_job(required_label), 0.0)
 
+    def submit_steps(
+        self, queue: model.Queue, steps: Sequence[model.StepSpec]
+    ) -> model.JobId:
+        """Submits a new job of the given steps, sometimes twice."""
+        job = self._add_job(queue, steps)
+        self._send_submissions(job, 0.0)
+        return job
+
     def submit_cancelled_job(self, delay_s: float) -> None:
         """Cancels a new job, and submits it after a delay."""
         job = self._new_job()
-        self._send_cancelling(job)
+        self.send_cancelling(job)
         self._send_submissions(job, delay_s)
 
-    def _new_job(self, required_label: str = "") -> model.JobId:
+    def _add_job(
+        self, queue: model.Queue, steps: Sequence[model.StepSpec]
+    ) -> model.JobId:
         self._job_count += 1
         job = model.JobId(f"{self._job_count:016x}")
+        self.spec_by_job[job] = model.JobSpec("payload", tuple(steps))
+        self.queue_by_job[job] = queue
+        return job
+
+    def _path(self, job: model.JobId) -> str:
+        return f"{self.queue_by_job[job].path_prefix}{job}"
+
+    def _new_job(self, required_label: str = "") -> model.JobId:
         needs = commands.Resources(1000, 100, 0)
         gang = self._rng.random() < 0.2
         steps = [
@@ -397,8 +185,7 @@
         ]
         if self._rng.random() < 0.5:
             steps.append(model.StepSpec(2, needs, 300, after=(0,)))
-        self.spec_by_job[job] = model.JobSpec("payload", tuple(steps))
-        return job
+        return self._add_job(QUEUE, steps)
 
     def _send_submissions(self, job: model.JobId, delay_s: float) -> None:
         unanswered = self._rng.choice((1, 2))
@@ -415,23 +202,26 @@
             if unanswered == 0:
                 self.refused_jobs.add(job)
 
-        request = requests.SubmitJob("host", f"/q/{job}", self.spec_by_job[job])
+        request = requests.SubmitJob(
+            "host", self._path(job), self.spec_by_job[job]
+        )
 
         def send() -> None:
-            self.send_request(self._pick_host(), request, on_reply)
+            self.send_request(self.pick_host(), request, on_reply)
 
         for _ in range(unanswered):
             if delay_s:
-                self._call_later(delay_s, send)
+                self.call_later(delay_s, send)
             else:
                 send()
 
     def cancel_job(self) -> None:
         """Cancels a random accepted job."""
         if self.accepted_jobs:
-            self._send_cancelling(self._rng.choice(sorted(self.accepted_jobs)))
+            self.send_cancelling(self._rng.choice(sorted(self.accepted_jobs)))
 
-    def _send_cancelling(self, job: model.JobId) -> None:
+    def send_cancelling(self, job: model.JobId) -> None:
+        """Cancels a job."""
         self.cancelled_jobs.add(job)
 
         def on_reply(reply: requests.AnyReply) -> None:
@@ -443,8 +233,8 @@
                 self.cancelling_answered_at.setdefault(job, self.now)
 
         self.send_request(
-            self._pick_host(),
-            requests.CancelJob("host", f"/q/{job}"),
+            self.pick_host(),
+            requests.CancelJob("host", self._path(job)),
             on_reply,
         )
 
@@ -466,13 +256,18 @@
                 self.jobs_shown_done.add(job)
 
         self.send_request(
-            self._pick_host(),
-            requests.ShowTarget("host", f"/q/{job}"),
+            self.pick_host(),
+            requests.ShowTarget("host", self._path(job)),
             on_reply,
         )
 
     # Workers.
 
+    def _step_workers(self) -> None:
+        for worker in self.workers:
+            self._step_worker(worker)
+        self._check_limits()
+
     def kill_worker(self, worker: simulated_processes.Worker) -> None:
         """Ends a worker's process and all its tasks."""
         worker.alive = False
@@ -487,8 +282,36 @@
             worker.incarnation + 1,
             next_report_at=self.now,
             target_host=worker.target_host,
+            service=worker.service,
+            labels=worker.labels,
+            capacity=worker.capacity,
+            disowned_until=worker.disowned_until,
         )
 
+    def send_leave(
+        self,
+        worker: simulated_processes.Worker,
+        delay_s: float,
+        names_incarnation: bool,
+    ) -> None:
+        """Sends, after a delay, that a worker has stopped all and left.
+
+        Without an incarnation this also ends the runs of a later one in the
+        keepers' state, although they go on.
+        """
+        incarnation = worker.incarnation if names_incarnation else 0
+        request = requests.WorkerLeft(worker.worker, incarnation)
+
+        def send() -> None:
+            for known in self.workers:
+                if known.worker == request.worker and not incarnation:
+                    known.disowned_until = self.now + REQUEST_S
+                    for run in known.runs.values():
+                        run.is_disowned = True
+            self.send_request(self.pick_host(), request, lambda reply: None)
+
+        self.call_later(delay_s, send)
+
     def _step_worker(self, worker: simulated_processes.Worker) -> None:
         if not worker.alive:
             return
@@ -497,7 +320,9 @@
             for task in list(worker.runs):
                 self._end_run(worker, task, model.Outcome.LOST)
         for task, run in list(worker.runs.items()):
-            if self.now >= run.ends_at:
+            if self.now >= run.stops_at:
+                self._end_run(worker, task, model.Outcome.STOPPED)
+            elif self.now >= run.ends_at:
                 outcome = model.Outcome.DONE
                 if run.fails:
                     outcome = model.Outcome.FAILED
@@ -539,18 +364,17 @@
             worker.worker,
             worker.incarnation,
             worker.sequence,
-            model.ServiceName("s"),
+            worker.service,
             "",
             "zone",
             worker.worker,
             "rack",
-            self.labels_by_worker.get(worker.worker, ()),
-            commands.Resources(4000, 1000, 0),
-            False,
+            worker.labels,
+            worker.capacity,
+            worker.draining,
             0,
             tuple(
-                requests.ActiveRun(task, run.run, "", 10)
-                for task, run in worker.runs.items()
+                self._active_run(task, run) for task, run in worker.runs.items()
             ),
             tuple(worker.ended),
         )
@@ -577,6 +401,21 @@
         if not worker.cut_off:
             self.send_request(self.hosts[worker.target_host], report, on_reply)
 
+    def _active_run(
+        self, task: model.TaskId, run: simulated_processes.Run
+    ) -> requests.ActiveRun:
+        if self._spec_of(task).runs_until_cancelled:
+            return requests.ActiveRun(
+                task, run.run, "", 100, SERVING_LATENCY_MS
+            )
+        return requests.ActiveRun(task, run.run, "", 10)
+
+    def _spec_of(self, task: model.TaskId) -> model.StepSpec:
+        parts = model.parse_task_id(task)
+        assert parts is not None
+        job, _, step, _ = parts
+        return self.spec_by_job[job].steps[step]
+
     def _apply_orders(
         self,
         worker: simulated_processes.Worker,
@@ -601,16 +440,32 @@
         for stop in orders.stops:
             run = worker.runs.get(stop.task)
             if run is not None and run.run == stop.run:
-                self._end_run(worker, stop.task, model.Outcome.STOPPED)
+                self._stop_run(worker, stop.task, run)
             worker.highest_run_by_task[stop.task] = max(
                 worker.highest_run_by_task.get(stop.task, 0), stop.run
             )
         for start in orders.starts:
             if start.run <= worker.highest_run_by_task.get(start.task, 0):
                 continue
+            known = worker.runs.get(start.task)
+            if known is not None and known.is_disowned:
+                # Starts once the earlier run has stopped.
+                continue
             worker.highest_run_by_task[start.task] = start.run
             self._start_run(worker, start)
 
+    def _stop_run(
+        self,
+        worker: simulated_processes.Worker,
+        task: model.TaskId,
+        run: simulated_processes.Run,
+    ) -> None:
+        """Ends a run now, or later if runs take time to stop."""
+        if not self.max_stop_s:
+            self._end_run(worker, task, model.Outcome.STOPPED)
+        elif run.stops_at == math.inf:
+            run.stops_at = self.now + self._rng.uniform(0.0, self.max_stop_s)
+
     def _record_acknowledged_end(self, item: requests.EndedRun) -> None:
         if item.outcome is model.Outcome.DONE:
             self.tasks_acknowledged_done.add(item.task)
@@ -625,8 +480,10 @@
         self, worker: simulated_processes.Worker, start: requests.StartOrder
     ) -> None:
         self.start_count += 1
+        is_disowned = self.now < worker.disowned_until
         for other in self.workers:
-            if other.alive and start.task in other.runs:
+            known = other.runs.get(start.task) if other.alive else None
+            if known and not (is_disowned or known.is_disowned):
                 raise InvariantViolationError(
                     f"{start.task} runs in two places"
                 )
@@ -668,26 +525,24 @@
                     raise InvariantViolationError(
                         f"{start.task} started before {name} had succeeded"
                     )
+        ends_at = self.now + self._rng.choice((0.1, 0.4, 1.0, 2.5))
+        if spec.steps[step].runs_until_cancelled:
+            ends_at = math.inf
         worker.runs[start.task] = simulated_processes.Run(
             start.run,
-            self.now + self._rng.choice((0.1, 0.4, 1.0, 2.5)),
+            ends_at,
             self._rng.random() < self.failure_share,
+            is_disowned=is_disowned,
         )
+        worker_limits.check_worker(worker, self.spec_by_job, self.queue_by_job)
 
-    def _check_capacity(self) -> None:
+    def _check_limits(self) -> None:
         for worker in self.workers:
-            if worker.alive and len(worker.runs) > 4:
-                raise InvariantViolationError(
-                    f"{worker.worker} runs more tasks than it has capacity for"
+            if worker.alive and worker.runs:
+                worker_limits.check_worker(
+                    worker, self.spec_by_job, self.queue_by_job
                 )
 
-    def has_active_leader(self) -> bool:
-        """Returns whether a keeper leads and does the leader's work."""
-        return any(
-            host.controller is not None and host.controller.is_active_leader
-            for host in self.hosts
-        )
-
     def quiesce(self, seconds: float = 25.0) -> None:
         """Ends all faults and checks that the cluster recovers.
 
