Let a gang exceed the limit of workers on trial when it fits nowhere else

Callers saw: a job whose gang needs two tasks on the only suitable worker was accepted and never started, if the worker was on trial after a probation (LOST). Cause: such a worker gets one task at a time until one succeeds, and a gang is placed completely or not at all. The gang waited for the trial to end, the trial for a task. Change: a gang that fits nowhere within the trials may exceed them, at once if no worker that isn't on trial may run its tasks, after 2 s otherwise. It takes workers that are not on trial first, then one task on each that is, then the rest. All other tasks still go to workers on trial one at a time.

--- a/features/filling.feature
+++ b/features/filling.feature
@@ -112,8 +112,50 @@
     And a task waits that has failed in 1 of 2 attempts
     Then it goes to the worker without failures
 
-  # Shows a wait that nothing ends (KNOWN-RED.txt).
+  # Guards against a gang that never starts. No other task comes to the worker, so
+  # nothing ends its trial.
   Scenario: A gang of 2 tasks waits for the only worker, which is on trial
     Given a free worker that is on trial after a probation
     When a gang of 2 tasks waits
     Then both tasks are assigned to the worker on trial
+
+  # Guards against more tasks than needed on workers that may be faulty.
+  Scenario Outline: A gang of <tasks> tasks with 1 core each, <trials> workers on trial, another with <free> of <cores> cores free
+    Given <trials> workers on trial with 16 cores, and one without failures with <free> of <cores> cores free
+    When a gang of <tasks> tasks waits for 4 s
+    Then it starts after <first> s with <at_risk> tasks on workers on trial
+
+    Examples:
+      | tasks | trials | free | cores | first      | at_risk |
+      | 4     | 1      | 4    | 4     | 0.0 to 0.1 | 0       |
+      | 5     | 1      | 4    | 4     | 0.0 to 0.1 | 1       |
+      | 6     | 1      | 4    | 4     | 2.0 to 2.3 | 2       |
+      | 6     | 2      | 4    | 4     | 0.0 to 0.1 | 2       |
+      | 2     | 1      | 0    | 4     | 2.0 to 2.3 | 2       |
+      | 3     | 2      | 0    | 4     | 2.0 to 2.3 | 3       |
+      | 3     | 2      | 0    | 0     | 0.0 to 0.1 | 3       |
+
+  Scenario: A gang waits for a worker that gets free before the wait for workers on trial ends
+    Given 1 workers on trial with 16 cores, and one without failures with 0 of 4 cores free
+    When a gang of 2 tasks waits for 1 s
+    Then it does not start
+    When the task on the worker without failures ends
+    And a gang of 2 tasks goes on waiting for 4 s
+    Then it starts after 0.0 to 1.5 s with 0 tasks on workers on trial
+
+  Scenario Outline: A gang waits and the only worker on trial <state>
+    Given 1 workers on trial with 16 cores, and one without failures with 0 of 0 cores free
+    And the worker on trial <state>
+    When a gang of 2 tasks waits for 4 s
+    Then it starts after 0.0 to 0.3 s with 2 tasks on workers on trial
+
+    Examples:
+      | state                                           |
+      | runs a task                                     |
+      | is on probation, as is each worker of its service |
+
+  # Guards against colocated tasks that never start; they may run one by one.
+  Scenario: A colocated step of 2 tasks waits for the only worker, which is on trial
+    Given 1 workers on trial with 16 cores, and one without failures with 0 of 0 cores free
+    When a colocated step of 2 tasks waits for 4 s
+    Then it starts after 2.0 to 2.3 s with 1 tasks on workers on trial
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -461,3 +461,102 @@
 def step_gang_on_trial(context: Any) -> None:
     workers = [item.worker for item in context.assignments]
     assert workers == ["trial", "trial"], workers
+
+
+@given(
+    "{trials:d} workers on trial with 16 cores, and one without failures with"
+    " {free:d} of {cores:d} cores free"
+)
+def step_workers_on_trial(
+    context: Any, trials: int, free: int, cores: int
+) -> None:
+    context.harness = DispatcherHarness()
+    context.now = 0.0
+    context.millicores_by_worker = {
+        f"trial{number}": 16_000 for number in range(trials)
+    }
+    if cores:
+        context.millicores_by_worker["sound"] = cores * 1000
+    _report_all(context)
+    if free < cores:
+        context.harness.submit("0b", ordinary_step((cores - free) * 1000))
+        planned = context.harness.plan(0.0)
+        assert [item.worker for item in planned] == ["sound"], planned
+    for worker, view in context.harness.dispatcher.fleet.view_by_id.items():
+        view.worker_health.on_trial = worker.startswith("trial")
+
+
+@given("the worker on trial runs a task")
+def step_trial_runs_task(context: Any) -> None:
+    context.harness.submit("0b", ordinary_step(1000))
+    assert context.harness.plan(0.0)
+
+
+@given("the worker on trial is on probation, as is each worker of its service")
+def step_trial_on_probation(context: Any) -> None:
+    views = context.harness.dispatcher.fleet.view_by_id
+    views[model.WorkerId("trial0")].worker_health.probation_until = 30.0
+
+
+@when("a gang of {tasks:d} tasks waits for {seconds:d} s")
+def step_gang_waits_for(context: Any, tasks: int, seconds: int) -> None:
+    needs = commands.Resources(1000, 10, 0)
+    context.harness.submit("0a", model.StepSpec(tasks, needs, 1000, gang=True))
+    _play_waiting(context, seconds)
+
+
+@when("a gang of {tasks:d} tasks goes on waiting for {seconds:d} s")
+def step_gang_goes_on_waiting(context: Any, tasks: int, seconds: int) -> None:
+    _play_waiting(context, seconds)
+    assert len(context.assignments) == tasks, context.assignments
+
+
+@when("a colocated step of {tasks:d} tasks waits for {seconds:d} s")
+def step_colocated_waits_for(context: Any, tasks: int, seconds: int) -> None:
+    needs = commands.Resources(1000, 10, 0)
+    context.harness.submit(
+        "0a", model.StepSpec(tasks, needs, 1000, colocate=True)
+    )
+    _play_waiting(context, seconds)
+
+
+@when("the task on the worker without failures ends")
+def step_sound_task_ends(context: Any) -> None:
+    ended = (
+        requests.EndedRun(
+            1, model.TaskId("0b.0.0.0"), 1, model.Outcome.DONE, ""
+        ),
+    )
+    cores = context.millicores_by_worker["sound"]
+    context.harness.report(context.now, "sound", cores, ended=ended)
+
+
+def _play_waiting(context: Any, seconds: int) -> None:
+    """Plans and reports until tasks are assigned or the time is over."""
+    context.assignments = []
+    end = context.now + seconds
+    began_at = context.now
+    while context.now < end and not context.assignments:
+        context.now += 0.05
+        _report_all(context)
+        context.assignments = context.harness.plan(context.now)
+    context.waited_s = context.now - began_at
+
+
+@then("it does not start")
+def step_gang_does_not_start(context: Any) -> None:
+    assert not context.assignments, context.assignments
+
+
+@then(
+    "it starts after {least:f} to {most:f} s with {at_risk:d} tasks on workers"
+    " on trial"
+)
+def step_gang_starts(
+    context: Any, least: float, most: float, at_risk: int
+) -> None:
+    assert context.assignments
+    assert least <= context.waited_s <= most, context.waited_s
+    workers = [item.worker for item in context.assignments]
+    found = sum(worker.startswith("trial") for worker in workers)
+    assert found == at_risk, workers
--- a/fulmarrouter/cluster/capacity_index.py
+++ b/fulmarrouter/cluster/capacity_index.py
@@ -193,6 +193,17 @@
             )
             yield indexed.candidate
 
+    def workers_not_on_trial(
+        self, service: model.ServiceName
+    ) -> Iterator[placement.CandidateWorker]:
+        """Yields the workers not on trial, also those that are silent or full."""
+        pool = self._pool_by_service.get(service)
+        if pool is None:
+            return
+        for indexed in pool.indexed_by_worker.values():
+            if not indexed.candidate.on_trial:
+                yield indexed.candidate
+
     def free_share(self, service: model.ServiceName) -> float:
         """Returns the share of a service's processors that is not claimed."""
         pool = self._pool_by_service.get(service)
@@ -294,6 +305,7 @@
             filling_share_by_image=shares,
             serving_count_by_image=view.serving_count_by_image,
             prefers_ordinary=gaps_lib.prefers_ordinary(view.key.worker),
+            on_trial=view.worker_health.on_trial,
             max_new_tasks=(
                 max(0, 1 - view.finite_runs)
                 if view.worker_health.on_trial
--- a/fulmarrouter/cluster/colocation.py
+++ b/fulmarrouter/cluster/colocation.py
@@ -5,12 +5,12 @@
 always take a part of the room, so the wait has an end.
 """
 
-from collections.abc import Container
 from collections.abc import Mapping
 
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import state as state_lib
+from fulmarrouter.cluster import step_waits
 
 # How long a step waits for a rack that holds all of it.
 RACK_WAIT_S = 2.0
@@ -21,31 +21,12 @@
 IDLE_FREE_SHARE = 0.5
 
 
-class ColocationWaits:
+class ColocationWaits(step_waits.StepWaits):
     """Since when the waiting colocated steps have not been placed completely."""
 
-    def __init__(self) -> None:
-        self._waiting_since: dict[state_lib.StepKey, float] = {}
-
-    def start(self, now: float, key: state_lib.StepKey) -> None:
-        """Records that a step could not be placed completely."""
-        self._waiting_since.setdefault(key, now)
-
-    def stop(self, key: state_lib.StepKey) -> None:
-        """Records that a step has been placed completely."""
-        self._waiting_since.pop(key, None)
-
-    def retain_steps(self, keys: Container[state_lib.StepKey]) -> None:
-        """Drops the steps that are not among the given ones."""
-        self._waiting_since = {
-            key: since
-            for key, since in self._waiting_since.items()
-            if key in keys
-        }
-
     def may_split(self, now: float, key: state_lib.StepKey) -> bool:
         """Whether a part of the step may be placed."""
-        return self._waited_s(now, key) >= RACK_WAIT_S
+        return self.waited_s(now, key) >= RACK_WAIT_S
 
     def may_span_racks(
         self,
@@ -70,10 +51,7 @@
         wait_s = (
             RACK_WAIT_S if free_share >= IDLE_FREE_SHARE else BUSY_RACK_WAIT_S
         )
-        return self._waited_s(now, key) >= wait_s
-
-    def _waited_s(self, now: float, key: state_lib.StepKey) -> float:
-        return now - self._waiting_since.get(key, now)
+        return self.waited_s(now, key) >= wait_s
 
 
 def rack_in_use(
--- a/fulmarrouter/cluster/placement.py
+++ b/fulmarrouter/cluster/placement.py
@@ -56,7 +56,9 @@
         suspicion: Whether tasks have failed here since the last success.
         prefers_ordinary: Whether long-running tasks take it last, so that
             ordinary tasks find capacity even before any has been seen.
-        max_new_tasks: Tasks that may still be placed here.
+        on_trial: Whether it gets one task at a time after a probation.
+        max_new_tasks: Tasks that may still be placed here; a gang may exceed
+            the limit of a worker on trial.
         remaining_headroom_by_image: Headroom that its filling tasks leave to
             its serving tasks; None until it is computed.
     """
@@ -81,12 +83,17 @@
     )
     suspicion: health.Suspicion = health.Suspicion.NONE
     prefers_ordinary: bool = False
+    on_trial: bool = False
     max_new_tasks: int = UNLIMITED_TASKS
     remaining_headroom_by_image: dict[str, float] | None = None
 
     def fits(self, needs: commands.Resources, fills: bool) -> bool:
-        """Whether one more task fits."""
-        if self.max_new_tasks <= 0 or needs.memory_mb > self.free_memory_mb:
+        """Whether one more task fits, within the limit of new tasks."""
+        return self.max_new_tasks > 0 and self.has_capacity(needs, fills)
+
+    def has_capacity(self, needs: commands.Resources, fills: bool) -> bool:
+        """Whether the free capacity is enough for one more task."""
+        if needs.memory_mb > self.free_memory_mb:
             return False
         if needs.accelerators > self.free_accelerators:
             return False
@@ -136,6 +143,8 @@
         may_split: Whether a part of a colocated step may be placed; the rest
             follows on the same rack.
         may_span_racks: Whether a colocated step may be placed on several racks.
+        may_exceed_trials: Whether a gang may be placed on workers on trial
+            beyond their limit of new tasks.
         is_starved: Whether a filling task has waited so long that it may also
             go where it would run only at a slow pace.
         protected_from_millicores: Least free capacity of a worker that is
@@ -150,6 +159,7 @@
     rack: str = ""
     may_split: bool = False
     may_span_racks: bool = False
+    may_exceed_trials: bool = False
     is_starved: bool = False
     protected_from_millicores: int = 0
 
@@ -248,6 +258,11 @@
         return known
 
 
+# A worker, after what it is ordered by: whether the task exceeds its trial, whether
+# it is on another rack than the preferred one, two scores, and a tiebreaker.
+_HeapItem = tuple[bool, bool, float, float, int, CandidateWorker]
+
+
 class _CandidateQueue:
     """Priority queue of the workers that may take a step's tasks."""
 
@@ -260,7 +275,7 @@
         self._demand = demand
         self._scorer = scorer
         self._counts = dict(demand.count_by_worker)
-        self._heap: list[tuple[bool, float, float, int, CandidateWorker]] = []
+        self._heap: list[_HeapItem] = []
         for order, candidate in enumerate(candidates):
             item = self._heap_item(candidate, order)
             if item is not None:
@@ -308,9 +323,12 @@
 
     def _heap_item(
         self, candidate: CandidateWorker, order: int
-    ) -> tuple[bool, float, float, int, CandidateWorker] | None:
+    ) -> _HeapItem | None:
         spec = self._demand.spec
-        if not candidate.fits(spec.needs, spec.fills):
+        exceeds_trial = candidate.max_new_tasks <= 0
+        if exceeds_trial and not self._demand.may_exceed_trials:
+            return None
+        if not candidate.has_capacity(spec.needs, spec.fills):
             return None
         same_step = self._counts.get(candidate.worker, 0)
         if assignment_limits.is_at_limit(spec, same_step):
@@ -321,7 +339,14 @@
         is_other_rack = (
             bool(spec.preferred_rack) and candidate.rack != spec.preferred_rack
         )
-        return (is_other_rack, -scores[0], -scores[1], order, candidate)
+        return (
+            exceeds_trial,
+            is_other_rack,
+            -scores[0],
+            -scores[1],
+            order,
+            candidate,
+        )
 
 
 # The index of each placed task, and its worker.
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -23,6 +23,7 @@
 from fulmarrouter.cluster import reservations as reservations_lib
 from fulmarrouter.cluster import search_cache
 from fulmarrouter.cluster import state as state_lib
+from fulmarrouter.cluster import trials
 
 # Bounds the size of a log entry and the duration of a planning round. A gang or a
 # colocated step, which is placed as a whole, may exceed it.
@@ -73,6 +74,7 @@
         )
         self._search_cache = search_cache.SearchCache()
         self._colocation_waits = colocation.ColocationWaits()
+        self._trial_waits = trials.TrialWaits()
         self._next_round_at = 0.0
         self._first_seen_by_job: dict[model.JobId, float] = {}
 
@@ -159,6 +161,7 @@
                 del self._first_seen_by_job[job_id]
         self._search_cache.retain_steps(state.open_steps)
         self._colocation_waits.retain_steps(state.open_steps)
+        self._trial_waits.retain_steps(state.open_steps)
 
     def gap_counts(self) -> tuple[int, int]:
         """Returns how many gaps are free and how many are wanted."""
@@ -260,7 +263,12 @@
         )
         for candidate in changed:
             checks += 1
-            if candidate.fits(spec.needs, spec.fills):
+            is_fitting = (
+                candidate.has_capacity(spec.needs, spec.fills)
+                if spec.gang
+                else candidate.fits(spec.needs, spec.fills)
+            )
+            if is_fitting:
                 fitting.append(candidate)
                 if len(fitting) >= MAX_RANKED_WORKERS:
                     is_exhaustive = False
@@ -272,9 +280,7 @@
         if fitting:
             demand = self._build_demand(now, state, search)
         if demand is not None and demand.indices:
-            chosen = placement.place_step(
-                fitting, demand, self._interference.effects
-            )
+            chosen = self._choose_workers(now, search, demand, fitting)
         if chosen:
             self._capacity_index.record_placed(
                 search.service, spec, len(chosen)
@@ -295,6 +301,31 @@
             return [], checks
         return self._assign_chosen(state, search, demand, chosen), checks
 
+    def _choose_workers(
+        self,
+        now: float,
+        search: search_cache.Search,
+        demand: placement.Demand,
+        fitting: list[placement.CandidateWorker],
+    ) -> list[tuple[int, placement.CandidateWorker]]:
+        """Chooses among fitting workers for the tasks of a step.
+
+        A gang exceeds the trials of workers only if it doesn't fit otherwise.
+        """
+        effects = self._interference.effects
+        chosen = placement.place_step(fitting, demand, effects)
+        if not search.spec.gang:
+            return chosen
+        others = self._capacity_index.workers_not_on_trial(search.service)
+        if not chosen and self._trial_waits.may_exceed(
+            now, search.key, search.spec, fitting, others
+        ):
+            demand = dataclasses.replace(demand, may_exceed_trials=True)
+            chosen = placement.place_step(fitting, demand, effects)
+        if chosen:
+            self._trial_waits.stop(search.key)
+        return chosen
+
     def _is_past_starvation_age(self, now: float, job: model.JobId) -> bool:
         return now - self._first_seen_by_job.get(job, now) > STARVATION_AGE_S
 
