Log when a worker leaves

Callers saw: nothing; tasks that ran twice while workers left could not be traced. Change: the leader's line `worker left` names the worker, the incarnation that the request names, the number of runs that it ended, whether the worker was known, and whether a later incarnation had reported, which keeps its own runs. Evidence: four scenarios of leaving_workers.feature, which fail without the line.

--- a/features/leaving_workers.feature
+++ b/features/leaving_workers.feature
@@ -14,6 +14,23 @@
       | 3    | WAITING  |
       | 0    | WAITING  |
 
+  Scenario Outline: The leader's log shows that incarnation <left> has left
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When incarnation <left> is said to have left, and 0.2 s pass
+    Then a line says that it has left with <runs> runs, known <known>, late <late>
+
+    Examples:
+      | left | runs | known | late  |
+      | 1    | 0    | True  | True  |
+      | 2    | 1    | True  | False |
+      | 0    | 1    | True  | False |
+
+  Scenario: The leader's log shows that a worker that has left says so again
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When incarnation 2 is said to have left, and 0.2 s pass
+    And incarnation 2 is said to have left, and 0.2 s pass
+    Then a line says that it has left with 0 runs, known False, late False
+
   # Guards against a task that runs twice, because a report of another writer is taken
   # for the next incarnation of its worker.
   Scenario Outline: A report under the id of a worker names the service <service> and incarnation <born>
--- a/features/steps/leaving_workers_steps.py
+++ b/features/steps/leaving_workers_steps.py
@@ -32,6 +32,8 @@
 @when("incarnation {left:d} is said to have left, and 0.2 s pass")
 def step_left(context: Any, left: int) -> None:
     harness = context.harness
+    harness.decision_buffer.take()
+    context.left_incarnation = left
     request = requests.WorkerLeft(model.WorkerId(WORKER), left)
     for command in harness.dispatcher.on_left(harness.state, request):
         harness.commit(command)
@@ -39,6 +41,23 @@
         harness.commit(command)
 
 
+@then(
+    "a line says that it has left with {runs:d} runs, known {known}, late"
+    " {late}"
+)
+def step_left_line(context: Any, runs: int, known: str, late: str) -> None:
+    (fields,) = [
+        decision.fields
+        for decision in context.harness.decision_buffer.take()
+        if decision.event == "worker left"
+    ]
+    assert fields["worker"] == WORKER, fields
+    assert fields["incarnation"] == context.left_incarnation, fields
+    assert fields["runs"] == runs, fields
+    assert str(fields["is_known"]) == known, fields
+    assert str(fields["is_late"]) == late, fields
+
+
 @given("a configuration with the service {service}")
 def step_configuration(context: Any, service: str) -> None:
     context.harness = filling_steps.DispatcherHarness()
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -21,6 +21,7 @@
 from fulmarrouter.cluster import report_checks
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import run_ends
 from fulmarrouter.cluster import serving_moves
 from fulmarrouter.cluster import stall_detection
 from fulmarrouter.cluster import state as state_lib
@@ -212,31 +213,8 @@
     def _end_lost_runs(
         self, state: state_lib.State, key: state_lib.WorkerKey
     ) -> list[log_commands.AnyCommand]:
-        """Ends all runs assigned to a worker incarnation as lost.
-
-        Each keeps the last checkpoint that the worker reported for it.
-        """
-        view = self.fleet.view_by_id.get(key.worker)
-        ends = []
-        for task, run in state.runs_by_worker.get(key, {}).items():
-            checkpoint = ""
-            if (
-                view is not None
-                and view.key == key
-                and view.is_running(task, run)
-            ):
-                checkpoint = view.running[task].checkpoint
-            ends.append(
-                log_commands.RunEnd(
-                    task,
-                    run,
-                    key.worker,
-                    key.incarnation,
-                    model.Outcome.LOST,
-                    checkpoint,
-                )
-            )
-        return log_commands.end_runs(ends)
+        """Ends all runs assigned to a worker incarnation as lost."""
+        return log_commands.end_runs(run_ends.lost_runs(state, self.fleet, key))
 
     def _new_ends(
         self,
@@ -380,23 +358,29 @@
 
         A request that arrives late does not affect a later incarnation.
         """
-        commands: list[log_commands.AnyCommand] = []
+        ends: list[log_commands.RunEnd] = []
         for key in list(state.runs_by_worker):
             if key.worker == request.worker and (
                 not request.incarnation
                 or key.incarnation <= request.incarnation
             ):
-                commands += self._end_lost_runs(state, key)
+                ends += run_ends.lost_runs(state, self.fleet, key)
         view = self.fleet.view_by_id.get(request.worker)
-        is_later = (
-            view is not None
-            and request.incarnation
-            and view.key.incarnation > request.incarnation
+        is_late = (
+            view is not None and 0 < request.incarnation < view.key.incarnation
         )
-        if view is not None and not is_later:
+        self._decisions.add(
+            "worker left",
+            worker=request.worker,
+            incarnation=request.incarnation,
+            runs=len(ends),
+            is_known=view is not None,
+            is_late=is_late,
+        )
+        if view is not None and not is_late:
             self.interference.forget_worker(view.key)
             self.fleet.remove(request.worker)
-        return commands
+        return log_commands.end_runs(ends)
 
     # Periodic work.
 
