Refuse reports that arrive after their worker's leave

Cause: a leave removed all that the leader knew of the worker. A report that the leave had overtaken made it join again: its ends were acknowledged, whatever had become of the tasks, and tasks were assigned to it until its new lease ended. Change: the leader remembers for 10 s which incarnation has left. Its reports get no lease and no acknowledgement, only orders to stop what they list. A success in them is committed if its task has not been planned elsewhere; what is planned later comes after it in the log and has no effect. A leave that names no incarnation ends the runs as before and refuses nothing. The meaning of log commands does not change. No task of a leaving worker starts later than before. The price: a task whose success is reported after it has been planned elsewhere is run again. Test: "The end of a run arrives after its worker has left" asked that the task is not started before the late success arrives, which no leader can know, and did not look at the answer. It is replaced by eight rows that ask that either the success counts and nothing is started, or the task is started once more and the success is neither committed nor acknowledged.

--- a/features/leaving_workers.feature
+++ b/features/leaving_workers.feature
@@ -53,11 +53,59 @@
     And its worker says that the task is done
     Then the phase of the task is DONE
 
-  # Shows a suspected cause of tasks that run twice (KNOWN-RED.txt): a report may
-  # arrive later than the leave that was sent after it.
-  Scenario: The end of a run arrives after its worker has left
+  # Guards against a task that is started again although the success of an earlier
+  # run is acknowledged. A report may arrive later than the leave that its worker
+  # sent after it.
+  Scenario Outline: The success of a <kind> arrives after its worker has left, and <state>
+    Given a worker that has restarted as incarnation 2 and runs a <kind>
+    When incarnation 2 is said to have left, and <state>
+    And the report that the task is done arrives late
+    Then the late report is answered without a lease or an acknowledgement
+    And another worker is told to start <count> tasks
+    And all tasks are done once what it runs is done
+
+    Examples:
+      | kind            | state                                   | count |
+      | task            | the commit of its leave is pending      | 0     |
+      | task            | no other worker has room                | 0     |
+      | task            | the assignment to another is pending    | 1     |
+      | task            | another worker has been told to start   | 1     |
+      | gang of 2 tasks | the commit of its leave is pending      | 0     |
+      | gang of 2 tasks | no other worker has room                | 0     |
+      | gang of 2 tasks | the assignment to another is pending    | 2     |
+      | gang of 2 tasks | another worker has been told to start   | 2     |
+
+  Scenario Outline: A report of incarnation <born> arrives <seconds> s after incarnation <left> is said to have left
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When incarnation <left> is said to have left, and 0.2 s pass
+    And incarnation <born> says <seconds> s later that the task is done
+    Then its report is <answer>
+
+    Examples:
+      | left | born | seconds | answer   |
+      | 2    | 2    | 9       | refused  |
+      | 2    | 2    | 11      | answered |
+      | 2    | 3    | 1       | answered |
+      | 1    | 2    | 1       | answered |
+      | 0    | 2    | 1       | answered |
+
+  Scenario: A worker that is still there after its leave is told to stop what it runs
     Given a worker that has restarted as incarnation 2 and runs a task
     When incarnation 2 is said to have left, and 0.2 s pass
-    And another worker reports twice
-    And the report that the task is done arrives late
-    Then the other worker has not been told to start the task
+    And incarnation 2 says 1 s later that the task runs
+    Then it is told to stop the task, with the fencing token of the leader
+
+  # Guards against the end of a later run that is forgotten before it is committed.
+  Scenario: The success of a task arrives after its worker has left and has restarted
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When incarnation 2 is said to have left, and 0.2 s pass
+    And it restarts as incarnation 3 before the report that the task is done arrives
+    Then the phase of the task is DONE
+    And no end of incarnation 3 is acknowledged
+
+  # Guards against tasks that wait for a worker that is gone.
+  Scenario: No task is assigned to a worker whose report arrives after its leave
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When incarnation 2 is said to have left, and 0.2 s pass
+    And incarnation 2 says 1 s later that the task is done
+    Then a task that waits is assigned to no worker
--- a/features/steps/assignment_steps.py
+++ b/features/steps/assignment_steps.py
@@ -25,7 +25,7 @@
     harness = context.cluster.harness
     context.cluster.tasks_by_worker.pop(worker)
     left = requests.WorkerLeft(model.WorkerId(worker), 0)
-    for command in harness.dispatcher.on_left(harness.state, left):
+    for command in harness.dispatcher.on_left(0.0, harness.state, left):
         harness.commit(command)
 
 
@@ -240,7 +240,7 @@
     else:
         harness.commit(_assignment(0, 1, "w"))
         left = requests.WorkerLeft(model.WorkerId("w"), 0)
-        for command in harness.dispatcher.on_left(harness.state, left):
+        for command in harness.dispatcher.on_left(0.1, harness.state, left):
             harness.commit(command)
     running = (requests.ActiveRun(context.task, context.run, "", 50),)
     harness.report(0.2, "w", 16_000, running)
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -26,6 +26,10 @@
     """A dispatcher and its replicated state, without a cluster.
 
     The caller passes the time, and each command is applied at once.
+
+    Attributes:
+        held_commands: If not None, commands are collected here instead, as if
+            their commit were pending.
     """
 
     def __init__(self) -> None:
@@ -35,11 +39,15 @@
             dispatcher.DispatchSettings(), self.decision_buffer
         )
         self.dispatcher.start_term(0.0, self.state)
+        self.held_commands: list[log_commands.AnyCommand] | None = None
         self._index = 0
         self._sequence = 0
 
     def commit(self, command: log_commands.AnyCommand) -> None:
         """Applies a command to the state and notifies the dispatcher."""
+        if self.held_commands is not None:
+            self.held_commands.append(command)
+            return
         self._index += 1
         self.state.apply(self._index, command)
         self.dispatcher.on_applied(self.state, self._index)
@@ -89,7 +97,10 @@
             running,
             ended,
         )
-        for command in self.dispatcher.on_report(now, self.state, report) or ():
+        proposed = self.dispatcher.on_report(now, self.state, report)
+        if proposed:
+            self.dispatcher.on_proposed(report, self._index + len(proposed))
+        for command in proposed or ():
             self.commit(command)
         return self.dispatcher.orders(now, self.state, report, 1)
 
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -155,7 +155,9 @@
             case requests.WorkerReport():
                 self._on_report(now, client, request)
             case requests.WorkerLeft():
-                self._propose_all(self.dispatcher.on_left(self.state, request))
+                self._propose_all(
+                    self.dispatcher.on_left(now, self.state, request)
+                )
                 self._read_index_queue.add(now, client, request)
             case requests.ReplaceConfiguration():
                 index = self._propose(
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from fulmarrouter.cluster import decision_log
+from fulmarrouter.cluster import departures
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import interference_control
 from fulmarrouter.cluster import job_retention
@@ -83,6 +84,7 @@
             settings.job_retention_s
         )
         self._term_started_at = 0.0
+        self._departures = departures.Departures()
         self._expiry_due = 0.0
         self._summary_due = 0.0
         self._persist_due = 0.0
@@ -118,6 +120,7 @@
         )
         self._serving_mover = self._make_serving_mover()
         self._workers_with_pending_ends = set()
+        self._departures = departures.Departures()
         self._term_started_at = now
         self._persist_due = now + PERSIST_EFFECTS_INTERVAL_S
         lease_end = self._lease_end(now)
@@ -154,6 +157,8 @@
             doesn't come from a worker of a service.
         """
         key = state_lib.WorkerKey(report.worker, report.incarnation)
+        if self._departures.has_left(now, key):
+            return self._on_late_report(state, report)
         known = self.fleet.view_by_id.get(report.worker)
         if known is not None and (
             known.key.incarnation > report.incarnation
@@ -194,6 +199,22 @@
         self._stop_stalled(now, state, view)
         return proposed
 
+    def _on_late_report(
+        self, state: state_lib.State, report: requests.WorkerReport
+    ) -> list[log_commands.AnyCommand]:
+        """Takes the successes that still count from a report after a leave."""
+        ends = run_ends.late_successes(
+            state, self.planner.planned_indices, report
+        )
+        self._decisions.add(
+            "report refused",
+            worker=report.worker,
+            reason="worker_left",
+            ended=len(report.ended),
+            late_successes=len(ends),
+        )
+        return log_commands.end_runs(ends)
+
     def _end_earlier_incarnations(
         self, state: state_lib.State, key: state_lib.WorkerKey
     ) -> list[log_commands.AnyCommand]:
@@ -319,7 +340,9 @@
     def on_proposed(self, report: requests.WorkerReport, index: int) -> None:
         """Records the log index whose commit makes a report's ends durable."""
         view = self.fleet.view_by_id.get(report.worker)
-        if view is not None and report.ended:
+        if view is None or view.report is not report:
+            return
+        if report.ended:
             view.pending_acknowledgements.append(
                 (index, report.ended[-1].number)
             )
@@ -352,11 +375,16 @@
                 }
 
     def on_left(
-        self, state: state_lib.State, request: requests.WorkerLeft
+        self,
+        now: float,
+        state: state_lib.State,
+        request: requests.WorkerLeft,
     ) -> list[log_commands.AnyCommand]:
         """Ends the runs of a worker that has left.
 
-        A request that arrives late does not affect a later incarnation.
+        A request that arrives late does not affect a later incarnation. One that
+        names no incarnation may not come from the worker, which is heard again
+        if it goes on reporting.
         """
         ends: list[log_commands.RunEnd] = []
         for key in list(state.runs_by_worker):
@@ -377,6 +405,10 @@
             is_known=view is not None,
             is_late=is_late,
         )
+        if request.incarnation:
+            self._departures.record(
+                now, state_lib.WorkerKey(request.worker, request.incarnation)
+            )
         if view is not None and not is_late:
             self.interference.forget_worker(view.key)
             self.fleet.remove(request.worker)
@@ -397,6 +429,7 @@
                 del self._inherited_lease_end_by_worker[key]
                 commands += self._end_lost_runs(state, key)
         self._forget_jobs(state)
+        self._departures.forget_old(now)
         for key in list(state.runs_by_worker):
             # These runs were committed after their worker had been removed, so
             # no worker was ever ordered to start them.
@@ -470,6 +503,9 @@
         called only once leadership has been confirmed after the report
         arrived. The term is the fencing token of the orders.
         """
+        worker_key = state_lib.WorkerKey(report.worker, report.incarnation)
+        if self._departures.has_left(now, worker_key):
+            return departures.late_orders(report, term)
         view = self.fleet.view_by_id.get(report.worker)
         if view is None or view.report is not report:
             return requests.Orders()
@@ -485,7 +521,7 @@
                 continue
             job, key, _, task = found
             spec = job.spec.steps[key.step]
-            is_wanted = _is_wanted(job, task, run)
+            is_wanted = run_ends.is_wanted(job, task, run)
             if view.is_running(task_id, run):
                 if not is_wanted or view.stop_requested.get(task_id) == run:
                     stop = requests.StopOrder(task_id, run)
@@ -535,28 +571,11 @@
         running and will not be.
         """
         view = self.fleet.view_by_id.get(report.worker)
-        if view is None or now - self._term_started_at < ABSENCE_GRACE_S:
+        if view is None or view.report is not report:
             return []
-        ends = []
-        for task_id, run in state.runs_by_worker.get(view.key, {}).items():
-            if view.has_reported(task_id, run):
-                continue
-            found = state.find_task(task_id)
-            if found is None:
-                continue
-            job, _, _, task = found
-            is_wanted = _is_wanted(job, task, run)
-            if not is_wanted or view.report.draining:
-                ends.append(
-                    log_commands.RunEnd(
-                        task_id,
-                        run,
-                        view.key.worker,
-                        view.key.incarnation,
-                        model.Outcome.LOST,
-                    )
-                )
-        return log_commands.end_runs(ends)
+        if now - self._term_started_at < ABSENCE_GRACE_S:
+            return []
+        return log_commands.end_runs(run_ends.absent_runs(state, view))
 
     def _next_report_ms(
         self, state: state_lib.State, view: fleet_lib.WorkerView
@@ -568,12 +587,3 @@
             len(self.fleet.view_by_id),
             self._settings.reports_per_s,
         )
-
-
-def _is_wanted(job: state_lib.Job, task: state_lib.Task, run: int) -> bool:
-    """Whether a run is the task's current one and its job is active."""
-    return (
-        job.is_active
-        and task.phase is model.TaskPhase.ASSIGNED
-        and task.run == run
-    )
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -5,6 +5,7 @@
 come before that and must not assign the task again.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -123,6 +124,10 @@
         for item in self._reservations.moving():
             yield item.task, item.worker
 
+    def planned_indices(self, key: state_lib.StepKey) -> Collection[int]:
+        """Returns the tasks of a step that have been planned or are moving."""
+        return self._reservations.of_step(key).keys()
+
     def unreserved_resources(
         self, view: fleet_lib.WorkerView
     ) -> commands.Resources:
--- a/fulmarrouter/cluster/run_ends.py
+++ b/fulmarrouter/cluster/run_ends.py
@@ -1,8 +1,12 @@
-"""Ends of runs that their workers have not reported."""
+"""Ends of runs that the leader infers, and those that it hears of too late."""
+
+from collections.abc import Callable
+from collections.abc import Collection
 
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
+from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
 
@@ -30,3 +34,94 @@
             )
         )
     return ends
+
+
+def is_wanted(job: state_lib.Job, task: state_lib.Task, run: int) -> bool:
+    """Whether a run is the task's current one and its job is active."""
+    return (
+        job.is_active
+        and task.phase is model.TaskPhase.ASSIGNED
+        and task.run == run
+    )
+
+
+def absent_runs(
+    state: state_lib.State, view: fleet_lib.WorkerView
+) -> list[log_commands.RunEnd]:
+    """Returns the ends, as lost, of assigned runs that will not be started.
+
+    Those that the worker has not reported and is not to start any more.
+    """
+    ends = []
+    for task_id, run in state.runs_by_worker.get(view.key, {}).items():
+        if view.has_reported(task_id, run):
+            continue
+        found = state.find_task(task_id)
+        if found is None:
+            continue
+        job, _, _, task = found
+        if not is_wanted(job, task, run) or view.report.draining:
+            ends.append(
+                log_commands.RunEnd(
+                    task_id,
+                    run,
+                    view.key.worker,
+                    view.key.incarnation,
+                    model.Outcome.LOST,
+                )
+            )
+    return ends
+
+
+def late_successes(
+    state: state_lib.State,
+    planned_indices: Callable[[state_lib.StepKey], Collection[int]],
+    report: requests.WorkerReport,
+) -> list[log_commands.RunEnd]:
+    """Returns the successes in a report that arrives after its worker's leave.
+
+    Only those whose tasks have not been planned elsewhere since. If one is
+    proposed now, no later assignment of the task takes effect. Other ends change
+    nothing: the runs have been ended as lost.
+
+    Args:
+        state: The replicated state.
+        planned_indices: Returns the tasks of a step for which an assignment is
+            planned or proposed.
+        report: The late report.
+    """
+    ends = []
+    for item in report.ended:
+        found = state.find_task(item.task)
+        if item.outcome is not model.Outcome.DONE or found is None:
+            continue
+        _, key, step, task = found
+        if task.phase is model.TaskPhase.DONE:
+            continue
+        spec = state.spec_of(key)
+        parts = model.parse_task_id(item.task)
+        assert parts is not None
+        # The success of one task of a gang completes all of them.
+        indices = range(len(step.tasks)) if spec.gang else (parts[3],)
+        planned = planned_indices(key)
+        is_superseded = any(
+            index in planned or step.tasks[index].run != item.run
+            for index in indices
+        )
+        is_own = (task.worker, task.incarnation) == (
+            report.worker,
+            report.incarnation,
+        )
+        if is_superseded or not is_own:
+            continue
+        ends.append(
+            log_commands.RunEnd(
+                item.task,
+                item.run,
+                report.worker,
+                report.incarnation,
+                item.outcome,
+                item.checkpoint,
+            )
+        )
+    return ends
