--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -99,3 +99,4 @@
       | first | mechanism                                                |
       | 0     | only applied assignments count for the limit per worker  |
       | 18    | the limits are not checked when a task is assigned       |
+      | 2     | runs that are no longer wanted do not count              |
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -11,6 +11,7 @@
 
 from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import decision_log
+from fulmarrouter.cluster import departures
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import interference_control
 from fulmarrouter.cluster import job_retention
@@ -22,6 +23,7 @@
 from fulmarrouter.cluster import report_checks
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import run_ends
 from fulmarrouter.cluster import run_monitor
 from fulmarrouter.cluster import serving_moves
 from fulmarrouter.cluster import state as state_lib
@@ -80,6 +82,7 @@
         self._job_retention = job_retention.JobRetention(
             settings.job_retention_s
         )
+        self._departures = departures.Departures()
         self._expiry_due = 0.0
         self._summary_due = 0.0
         self._persist_due = 0.0
@@ -115,6 +118,7 @@
         )
         self._serving_mover = self._make_serving_mover(now)
         self._workers_with_pending_ends = set()
+        self._departures = departures.Departures()
         self._persist_due = now + PERSIST_EFFECTS_INTERVAL_S
         lease_end = self._lease_end(now)
         self._inherited_lease_end_by_worker = dict.fromkeys(
@@ -153,6 +157,8 @@
             doesn't come from a worker of a service.
         """
         key = state_lib.WorkerKey(report.worker, report.incarnation)
+        if self._departures.has_left(now, key):
+            return self._on_late_report(state, report)
         known = self.fleet.view_by_id.get(report.worker)
         if known is not None and (
             known.key.incarnation > report.incarnation
@@ -197,6 +203,22 @@
         self._run_monitor.on_report(now, state, view, self.interference)
         return proposed
 
+    def _on_late_report(
+        self, state: state_lib.State, report: requests.WorkerReport
+    ) -> list[log_commands.AnyCommand]:
+        """Takes the successes that still count from a report after a leave."""
+        ends = run_ends.late_successes(
+            state, self.planner.planned_indices, report
+        )
+        self._decisions.add(
+            "report refused",
+            worker=report.worker,
+            reason="worker_left",
+            ended=len(report.ended),
+            late_successes=len(ends),
+        )
+        return log_commands.end_runs(ends)
+
     def _end_earlier_incarnations(
         self, state: state_lib.State, key: state_lib.WorkerKey
     ) -> list[log_commands.AnyCommand]:
@@ -216,31 +238,8 @@
     def _end_lost_runs(
         self, state: state_lib.State, key: state_lib.WorkerKey
     ) -> list[log_commands.AnyCommand]:
-        """Ends all runs assigned to a worker incarnation as lost.
-
-        Each keeps the last checkpoint that the worker reported for it.
-        """
-        view = self.fleet.view_by_id.get(key.worker)
-        ends = []
-        for task, run in state.runs_by_worker.get(key, {}).items():
-            checkpoint = ""
-            if (
-                view is not None
-                and view.key == key
-                and view.is_running(task, run)
-            ):
-                checkpoint = view.running[task].checkpoint
-            ends.append(
-                log_commands.RunEnd(
-                    task,
-                    run,
-                    key.worker,
-                    key.incarnation,
-                    model.Outcome.LOST,
-                    checkpoint,
-                )
-            )
-        return log_commands.end_runs(ends)
+        """Ends all runs assigned to a worker incarnation as lost."""
+        return log_commands.end_runs(run_ends.lost_runs(state, self.fleet, key))
 
     def _new_ends(
         self,
@@ -278,7 +277,9 @@
     def on_proposed(self, report: requests.WorkerReport, index: int) -> None:
         """Records the log index whose commit makes a report's ends durable."""
         view = self.fleet.view_by_id.get(report.worker)
-        if view is not None and report.ended:
+        if view is None or view.report is not report:
+            return
+        if report.ended:
             view.pending_acknowledgements.append(
                 (index, report.ended[-1].number)
             )
@@ -315,25 +316,37 @@
     ) -> list[log_commands.AnyCommand]:
         """Ends the runs of a worker that has left.
 
-        A request that arrives late does not affect a later incarnation.
+        A request that arrives late does not affect a later incarnation. One that
+        names no incarnation may not come from the worker, which is heard again
+        if it goes on reporting.
         """
-        commands: list[log_commands.AnyCommand] = []
+        ends: list[log_commands.RunEnd] = []
         for key in list(state.runs_by_worker):
             if key.worker == request.worker and (
                 not request.incarnation
                 or key.incarnation <= request.incarnation
             ):
-                commands += self._end_lost_runs(state, key)
+                ends += run_ends.lost_runs(state, self.fleet, key)
         view = self.fleet.view_by_id.get(request.worker)
-        is_later = (
-            view is not None
-            and request.incarnation
-            and view.key.incarnation > request.incarnation
+        is_late = (
+            view is not None and 0 < request.incarnation < view.key.incarnation
+        )
+        self._decisions.add(
+            "worker left",
+            worker=request.worker,
+            incarnation=request.incarnation,
+            runs=len(ends),
+            is_known=view is not None,
+            is_late=is_late,
         )
-        if view is not None and not is_later:
+        if request.incarnation:
+            self._departures.record(
+                state_lib.WorkerKey(request.worker, request.incarnation)
+            )
+        if view is not None and not is_late:
             self.interference.forget_worker(view.key)
             self.fleet.remove(request.worker)
-        return commands
+        return log_commands.end_runs(ends)
 
     # Periodic work.
 
@@ -350,6 +363,7 @@
                 del self._inherited_lease_end_by_worker[key]
                 commands += self._end_lost_runs(state, key)
         self._forget_jobs(state)
+        self._departures.update(now)
         for key in list(state.runs_by_worker):
             # These runs were committed after their worker had been removed, so
             # no worker was ever ordered to start them.
@@ -421,6 +435,9 @@
         called only once leadership has been confirmed after the report
         arrived. The term is the fencing token of the orders.
         """
+        worker_key = state_lib.WorkerKey(report.worker, report.incarnation)
+        if self._departures.has_left(now, worker_key):
+            return departures.late_orders(report, term)
         view = self.fleet.view_by_id.get(report.worker)
         if view is None or view.report is not report:
             return requests.Orders()
@@ -437,7 +454,7 @@
                 continue
             job, key, _, task = found
             spec = job.spec.steps[key.step]
-            is_wanted = _is_wanted(job, task, run)
+            is_wanted = run_ends.is_wanted(job, task, run)
             if view.is_running(task_id, run):
                 if not is_wanted or view.must_stop(task_id, run):
                     stop = requests.StopOrder(task_id, run)
@@ -493,28 +510,11 @@
         running and will not be.
         """
         view = self.fleet.view_by_id.get(report.worker)
-        if view is None or now - view.first_heard_at < ABSENCE_GRACE_S:
+        if view is None or view.report is not report:
             return []
-        ends = []
-        for task_id, run in state.runs_by_worker.get(view.key, {}).items():
-            if view.has_reported(task_id, run):
-                continue
-            found = state.find_task(task_id)
-            if found is None:
-                continue
-            job, _, _, task = found
-            is_wanted = _is_wanted(job, task, run)
-            if not is_wanted or view.report.draining:
-                ends.append(
-                    log_commands.RunEnd(
-                        task_id,
-                        run,
-                        view.key.worker,
-                        view.key.incarnation,
-                        model.Outcome.LOST,
-                    )
-                )
-        return log_commands.end_runs(ends)
+        if now - view.first_heard_at < ABSENCE_GRACE_S:
+            return []
+        return log_commands.end_runs(run_ends.absent_runs(state, view))
 
     def _next_report_ms(self, view: fleet_lib.WorkerView) -> int:
         return report_timing.next_report_ms(
@@ -523,12 +523,3 @@
             len(self.fleet.view_by_id),
             self._settings.reports_per_s,
         )
-
-
-def _is_wanted(job: state_lib.Job, task: state_lib.Task, run: int) -> bool:
-    """Whether a run is the task's current one and its job is active."""
-    return (
-        job.is_active
-        and task.phase is model.TaskPhase.ASSIGNED
-        and task.run == run
-    )
