--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run test check format smoke soak model binary bench clean
+.PHONY: run test check format smoke soak process-soak model binary bench clean
 
 $(VENV)/ready: requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -36,6 +36,12 @@
 soak: $(VENV)/ready
 	$(BIN)/python -m features.support.histories $(FIRST) $(LAST)
 
+# Runs real processes under random faults, about 50 s a seed. The logs of seeds
+# that break a rule are kept in build/process-soak.
+process-soak: $(VENV)/ready
+	mkdir -p build/process-soak
+	$(BIN)/python -m features.support.process_soak $(FIRST) $(LAST) build/process-soak
+
 # Installs spin and gcc with apt if they are missing.
 model:
 	@command -v spin >/dev/null && command -v gcc >/dev/null || \
--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -14,6 +14,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import threading
@@ -60,9 +61,13 @@
     Args:
         seed: Determines jobs, faults and delays.
         folder: Receives settings, data, logs and the record.
+        faults_s: Time in which faults begin.
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, folder: pathlib.Path, faults_s: float = FAULTS_S
+    ) -> None:
+        self._faults_s = faults_s
         self._random = random.Random(f"soak {seed}")
         self._seed = seed
         self._record = run_checks.Record(folder / "record.txt")
@@ -165,7 +170,7 @@
             (2.0, 5.0, self._change_configuration),
         ):
             at = begin
-            while at < FAULTS_S:
+            while at < self._faults_s:
                 plan.append((at, fault))
                 at += self._random.uniform(0.4, 1.6) * interval
         for at, fault in sorted(plan, key=lambda item: item[0]):
@@ -258,9 +263,14 @@
         until = time.monotonic() + END_TIMEOUT_S
         for client in self._clients:
             client.join(max(0.0, until - time.monotonic()))
+        # Filling tasks of all jobs may be paused while serving ones run.
+        until = time.monotonic() + END_TIMEOUT_S
+        for client in self._clients:
+            self._cancel_lasting_jobs(client, until)
         until = time.monotonic() + END_TIMEOUT_S
         for client in self._clients:
             self._wait_for_jobs(client, until)
+        until = time.monotonic() + END_TIMEOUT_S
         if not self._operator.replace(until):
             self._add_violation("no configuration acknowledged")
         while self._operator.read_version() != self._operator.version:
@@ -277,13 +287,18 @@
         with self._checks.lock:
             self._checks.add_violation(rule, **fields)
 
-    def _wait_for_jobs(self, client: soak_clients.Client, until: float) -> None:
-        accepted = [job for job in client.jobs if job.is_accepted]
-        for job in accepted:
-            if job.is_lasting:
+    def _cancel_lasting_jobs(
+        self, client: soak_clients.Client, until: float
+    ) -> None:
+        for job in client.jobs:
+            if job.is_accepted and job.is_lasting:
                 while not client.cancel(job) and time.monotonic() < until:
                     time.sleep(0.2)
-        for job in accepted:
+
+    def _wait_for_jobs(self, client: soak_clients.Client, until: float) -> None:
+        for job in client.jobs:
+            if not job.is_accepted:
+                continue
             ends = ("cancelled", "done") if job.is_cancelled else ("done",)
             while (state := client.show(job)) not in ends:
                 if job.is_cancelled and state == "410":
@@ -295,10 +310,14 @@
         client.close()
 
 
-def run_seed(seed: int, folder: pathlib.Path | None = None) -> Result:
+def run_seed(
+    seed: int,
+    folder: pathlib.Path | None = None,
+    faults_s: float = FAULTS_S,
+) -> Result:
     """Runs a seed; keeps its files in a folder if a rule was broken."""
     with tempfile.TemporaryDirectory(prefix="soak-") as temporary:
-        result = Soak(seed, pathlib.Path(temporary)).run()
+        result = Soak(seed, pathlib.Path(temporary), faults_s).run()
         if result.violations and folder is not None:
             shutil.copytree(
                 temporary, folder / f"seed-{seed}", dirs_exist_ok=True
@@ -308,6 +327,8 @@
 
 def main() -> int:
     """Runs the seeds given as arguments; returns 1 if a rule was broken."""
+    # So that the processes of a seed are ended with this one.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
     first, last = int(sys.argv[1]), int(sys.argv[2])
     folder = pathlib.Path(sys.argv[3]) if len(sys.argv) > 3 else None
     failed = 0
--- a/features/support/run_checks.py
+++ b/features/support/run_checks.py
@@ -115,7 +115,7 @@
 
     def add_violation(self, rule: str, **fields: Any) -> None:
         text = " ".join(f"{name}={value}" for name, value in fields.items())
-        self.violations.append(f"{rule} {text}")
+        self.violations.append(f"{rule}: {text}")
         self.record.add("VIOLATION", rule=rule, **fields)
 
     def advance(self, now: float) -> None:
--- a/features/support/soak_workers.py
+++ b/features/support/soak_workers.py
@@ -344,11 +344,19 @@
             ):
                 self._drained_at = now + DRAIN_S + self._random.uniform(0, 1)
             self._checks.advance(now)
-            return self._obey(json.loads(answer or b"{}"), sent_at, now)
+            return self.obey(json.loads(answer or b"{}"), sent_at, now)
 
-    def _obey(
-        self, orders: dict[str, Any], sent_at: float, now: float
-    ) -> float:
+    def obey(self, orders: dict[str, Any], sent_at: float, now: float) -> float:
+        """Carries out the orders in an answer; the shared view is advanced.
+
+        Args:
+            orders: The answer.
+            sent_at: When the heartbeat was sent.
+            now: The present time.
+
+        Returns:
+            The seconds until the next heartbeat.
+        """
         self.report_address = orders.get(
             "heartbeat_address", self.report_address
         )
