--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 import dataclasses
 import pathlib
+import queue
 import random
 import shutil
 import signal
@@ -31,6 +32,9 @@
 START_TIMEOUT_S = 30.0
 # Longer than the rules allow, since the machine may be busy.
 END_TIMEOUT_S = 60.0
+# Share of the stops of serving tasks during which a worker beside restarts.
+MOVE_FAULT_SHARE = 0.5
+RESTART_S = 0.05
 WORKERS = (
     ("w1", "booking", ("a", "r-1")),
     ("w2", "booking", ("b", "r-1")),
@@ -101,6 +105,8 @@
         self._all_lives: list[soak_workers.Worker] = []
         self._threads: list[threading.Thread] = []
         self._births = 0
+        self._lives_lock = threading.Lock()
+        self._are_faults_over = threading.Event()
 
     def run(self) -> Result:
         """Runs the seed."""
@@ -109,6 +115,7 @@
             self._play_faults()
             self._settle()
         finally:
+            self._are_faults_over.set()
             for client in self._clients:
                 client.closing.set()
             for life in self._all_lives:
@@ -163,6 +170,7 @@
     def _play_faults(self) -> None:
         """Begins faults of nodes and of workers; they may overlap."""
         started = time.monotonic()
+        self._run_aside(self._disturb_moves)
         plan: list[tuple[float, Callable[[], None]]] = []
         for begin, interval, fault in (
             (4.0, 1.6, self._disturb_node),
@@ -176,6 +184,7 @@
         for at, fault in sorted(plan, key=lambda item: item[0]):
             time.sleep(max(0.0, started + at - time.monotonic()))
             fault()
+        self._are_faults_over.set()
 
     def _run_aside(self, function: Callable[[], None]) -> None:
         thread = threading.Thread(target=function, daemon=True)
@@ -212,6 +221,10 @@
         self._run_aside(act_and_release)
 
     def _disturb_worker(self) -> None:
+        with self._lives_lock:
+            self._disturb_any_worker()
+
+    def _disturb_any_worker(self) -> None:
         index = self._random.randrange(len(self._lives))
         kind = self._random.choice(["crash", "crash", "drain", "silence"])
         seconds = self._random.uniform(0.1, 2.0)
@@ -242,6 +255,38 @@
         time.sleep(min(seconds, 0.5))
         self._add_worker(name, life.service, (kind_label, rack))
 
+    def _disturb_moves(self) -> None:
+        """Restarts workers while a task beside theirs is being stopped.
+
+        Tasks of its step are then assigned at the same time as the one that
+        stops, often to the same workers.
+        """
+        choice = random.Random(f"moves {self._seed}")
+        while not self._are_faults_over.is_set():
+            try:
+                task = self._checks.stopped_tasks.get(timeout=0.1)
+            except queue.Empty:
+                continue
+            job = self._checks.job_by_id[task.partition(".")[0]]
+            is_chosen = choice.random() < MOVE_FAULT_SHARE
+            delay_s = choice.uniform(0.0, 0.3)
+            if job.is_cancelled or not is_chosen:
+                continue
+            time.sleep(delay_s)
+            with self._lives_lock:
+                with self._checks.lock:
+                    beside = self._checks.lives_beside(task)
+                chosen = [life for life in self._lives if life in beside]
+                if not chosen:
+                    continue
+                life = choice.choice(chosen)
+                if life.is_draining:
+                    continue
+                life.crash()
+                self._lives.remove(life)
+                time.sleep(RESTART_S)
+                self._add_worker(life.name, life.service, life.labels)
+
     def _send_late(self, name: str, heartbeat: dict[str, object]) -> None:
         """Sends a heartbeat of a worker that has crashed."""
         path = f"/api/instances/{name}/heartbeat"
--- a/features/support/run_checks.py
+++ b/features/support/run_checks.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import queue
 import threading
 import time
 from typing import Any
@@ -100,6 +101,7 @@
     Attributes:
         lives: The live workers.
         violations: One text for each rule that was broken.
+        stopped_tasks: Tasks that last, each time one is told to stop.
     """
 
     def __init__(self, record: Record) -> None:
@@ -110,6 +112,7 @@
         self.violations: list[str] = []
         self.starts = 0
         self.ended_done: set[str] = set()
+        self.stopped_tasks: queue.SimpleQueue[str] = queue.SimpleQueue()
         self._started_by_task: dict[str, list[float]] = {}
         self._noted_tasks: set[str] = set()
 
@@ -132,6 +135,17 @@
         found = job.steps[int(step)]
         return found if int(index) < found["count"] else None
 
+    def lives_beside(self, task: str) -> list[Any]:
+        """Returns the workers that run other tasks of a task's step."""
+        return [
+            life
+            for life in self.lives
+            if any(
+                step_key(other) == step_key(task) and other != task
+                for other in life.run_by_task
+            )
+        ]
+
     def check_start(
         self, life: Any, now: float, task: str, run: int, payload: str
     ) -> dict[str, Any] | None:
--- a/features/support/soak_clients.py
+++ b/features/support/soak_clients.py
@@ -62,7 +62,7 @@
     """Returns a random job, either one that lasts or a short one."""
     if is_lasting:
         step: dict[str, Any] = {
-            "count": choice.randint(2, 4),
+            "count": choice.randint(2, 5),
             "cpu": choice.choice([2000, 3000, 4000]),
             "mem_mb": 1000,
             "estimated_ms": 400,
--- a/features/support/soak_workers.py
+++ b/features/support/soak_workers.py
@@ -220,6 +220,8 @@
         elif known.run == run and known.stops_at == INFINITE:
             delay = self._random.uniform(0, STOP_TIMEOUT_S)
             known.stops_at = now + delay
+            if known.step.get("long_running"):
+                self._checks.stopped_tasks.put(task)
             self._add("stopping", task=task, run=run)
 
     def _pace_run(self, now: float, task: str, run: int, percent: int) -> None:
