--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -35,6 +35,9 @@
 # Share of the stops of serving tasks during which a worker beside restarts.
 MOVE_FAULT_SHARE = 0.5
 RESTART_S = 0.05
+# Mean times between faults; under few of them more serving tasks are moved.
+NODE_INTERVALS_S = (1.6, 4.0, 8.0)
+WORKER_INTERVALS_S = (1.5, 4.0)
 WORKERS = (
     ("w1", "booking", ("a", "r-1")),
     ("w2", "booking", ("b", "r-1")),
@@ -173,8 +176,12 @@
         self._run_aside(self._disturb_moves)
         plan: list[tuple[float, Callable[[], None]]] = []
         for begin, interval, fault in (
-            (4.0, 1.6, self._disturb_node),
-            (3.0, 1.5, self._disturb_worker),
+            (4.0, self._random.choice(NODE_INTERVALS_S), self._disturb_node),
+            (
+                3.0,
+                self._random.choice(WORKER_INTERVALS_S),
+                self._disturb_worker,
+            ),
             (2.0, 5.0, self._change_configuration),
         ):
             at = begin
--- a/features/support/soak_clients.py
+++ b/features/support/soak_clients.py
@@ -63,7 +63,7 @@
     if is_lasting:
         step: dict[str, Any] = {
             "count": choice.randint(2, 5),
-            "cpu": choice.choice([2000, 3000, 4000]),
+            "cpu": choice.choice([1000, 1500, 2500]),
             "mem_mb": 1000,
             "estimated_ms": 400,
             "long_running": True,
