--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import pathlib
 import queue
 import random
@@ -35,6 +36,7 @@
 # Share of the stops of serving tasks during which a worker beside restarts.
 MOVE_FAULT_SHARE = 0.5
 RESTART_S = 0.05
+SMALL_LIFE_S = 1.5
 # Mean times between faults; under few of them more serving tasks are moved.
 NODE_INTERVALS_S = (1.6, 4.0, 8.0)
 WORKER_INTERVALS_S = (1.5, 4.0)
@@ -152,7 +154,11 @@
             client.start()
 
     def _add_worker(
-        self, name: str, service: str, labels: tuple[str, str]
+        self,
+        name: str,
+        service: str,
+        labels: tuple[str, str],
+        capacity: dict[str, int] = soak_workers.CAPACITY,
     ) -> None:
         self._births += 1
         life = soak_workers.Worker(
@@ -163,6 +169,7 @@
             self._controls,
             self._checks,
             f"{self._seed} {self._births}",
+            capacity,
         )
         self._lives.append(life)
         self._all_lives.append(life)
@@ -265,8 +272,8 @@
     def _disturb_moves(self) -> None:
         """Restarts workers while a task beside theirs is being stopped.
 
-        Tasks of its step are then assigned at the same time as the one that
-        stops, often to the same workers.
+        A worker returns with a small capacity, so that its task is assigned to
+        another one at the same time as the task that stops.
         """
         choice = random.Random(f"moves {self._seed}")
         while not self._are_faults_over.is_set():
@@ -289,10 +296,24 @@
                 life = choice.choice(chosen)
                 if life.is_draining:
                     continue
-                life.crash()
-                self._lives.remove(life)
-                time.sleep(RESTART_S)
-                self._add_worker(life.name, life.service, life.labels)
+                self._restart(life, soak_workers.SMALL_CAPACITY)
+                small_life = self._lives[-1]
+            self._run_aside(functools.partial(self._restore, small_life))
+
+    def _restart(
+        self, life: soak_workers.Worker, capacity: dict[str, int]
+    ) -> None:
+        """Restarts a worker; the caller holds the lock."""
+        life.crash()
+        self._lives.remove(life)
+        time.sleep(RESTART_S)
+        self._add_worker(life.name, life.service, life.labels, capacity)
+
+    def _restore(self, life: soak_workers.Worker) -> None:
+        time.sleep(SMALL_LIFE_S)
+        with self._lives_lock:
+            if life in self._lives:
+                self._restart(life, soak_workers.CAPACITY)
 
     def _send_late(self, name: str, heartbeat: dict[str, object]) -> None:
         """Sends a heartbeat of a worker that has crashed."""
--- a/features/support/soak_workers.py
+++ b/features/support/soak_workers.py
@@ -19,6 +19,7 @@
 STARTUP_S = 0.3
 PACE_DELAY_S = 0.1
 MAX_LISTED_ENDS = 500
+SMALL_CAPACITY = {"cpu": 200, "mem_mb": 200, "gpu": 0}
 CAPACITY = {"cpu": 16_000, "mem_mb": 32_000, "gpu": 0}
 BASE_HEADROOM = 3.5
 TARGET_MS = 60
@@ -58,6 +59,7 @@
         addresses: Control addresses of the nodes.
         checks: The shared view.
         seed: Seed of its stop times, its clock and its first address.
+        capacity: Its capacity.
     """
 
     def __init__(
@@ -69,11 +71,13 @@
         addresses: list[str],
         checks: run_checks.RunChecks,
         seed: str,
+        capacity: dict[str, int] = CAPACITY,
     ) -> None:
         self.name = name
         self.service = service
         self.labels = labels
         self.is_guarded = is_guarded
+        self.capacity = capacity
         self.run_by_task: dict[str, run_checks.Run] = {}
         self.silent_until = 0.0
         self.report_address = ""
@@ -149,7 +153,9 @@
         steps = [step, *(run.step for run in self.run_by_task.values())]
         cpu = sum(item["cpu"] for item in steps if not item.get("fills"))
         memory = sum(item["mem_mb"] for item in steps)
-        return bool(cpu <= CAPACITY["cpu"] and memory <= CAPACITY["mem_mb"])
+        return bool(
+            cpu <= self.capacity["cpu"] and memory <= self.capacity["mem_mb"]
+        )
 
     def advance(self, now: float) -> None:
         """Ends what has ended by now."""
@@ -250,7 +256,7 @@
             * other.step["cpu"]
             * other.pace
             / 100
-            / CAPACITY["cpu"]
+            / self.capacity["cpu"]
             for other in self.run_by_task.values()
             if other.step.get("fills")
         )
@@ -277,7 +283,7 @@
             "state": "draining" if self._is_draining else "ready",
             "cold_remaining_ms": 0,
             "machine": f"m-{self.name}",
-            "capacity": CAPACITY,
+            "capacity": self.capacity,
             "labels": list(self.labels),
             "clock_ms": int(now * 1000),
             "sequence": self._sequence,
