--- a/features/process_soak.feature
+++ b/features/process_soak.feature
@@ -28,6 +28,6 @@
       | a task that nobody submitted                              | UNASKED             |
 
   Scenario: Nodes are killed, stopped and frozen while workers crash, drain and fall silent
-    When the soak runs seed 1 with faults for 18 s
+    When the soak runs seed 8 with faults for 20 s
     Then no rule was broken
     And tasks were started and assigned
