--- a/features/leaving_workers.feature
+++ b/features/leaving_workers.feature
@@ -109,3 +109,9 @@
     When incarnation 2 is said to have left, and 0.2 s pass
     And incarnation 2 says 1 s later that the task is done
     Then a task that waits is assigned to no worker
+
+  # Guards against a run after the last attempt has failed (KNOWN-RED.txt).
+  Scenario: The failure of an earlier run is reported after that of a later one
+    Given a task with 2 attempts, of which the first was lost with its worker's lease
+    When the second run fails, and then the first worker reports that its run has failed
+    Then no third run is started
--- a/features/steps/leaving_workers_steps.py
+++ b/features/steps/leaving_workers_steps.py
@@ -6,6 +6,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 from fleet_adapter import worker_format
 
 from features.steps import filling_steps
@@ -277,3 +278,42 @@
 def step_assigned_to_none(context: Any) -> None:
     context.harness.submit("0c", filling_steps.ordinary_step(1000))
     assert not context.harness.plan(context.now + 0.1)
+
+
+@given(
+    "a task with 2 attempts, of which the first was lost with its worker's"
+    " lease"
+)
+def step_lost_attempt(context: Any) -> None:
+    harness = context.harness = filling_steps.DispatcherHarness()
+    queue = msgspec.structs.replace(filling_steps.QUEUE, max_attempts=2)
+    spec = model.JobSpec("payload", (filling_steps.ordinary_step(1000),))
+    harness.report(0.0, "w0", 8000)
+    harness.commit(log_commands.SubmitJob(model.JobId("0a"), queue, spec, 0))
+    assert harness.plan(0.1)
+    harness.report(0.2, "w0", 8000)
+    for command in harness.dispatcher.expire(7.0, harness.state):
+        harness.commit(command)
+    harness.report(7.1, "w1", 8000)
+    assert harness.plan(7.2)
+    harness.report(7.3, "w1", 8000)
+
+
+@when(
+    "the second run fails, and then the first worker reports that its run has"
+    " failed"
+)
+def step_failures_change_places(context: Any) -> None:
+    task = model.TaskId("0a.0.0.0")
+    for now, worker, run in ((7.5, "w1", 2), (7.6, "w0", 1)):
+        failed = requests.EndedRun(1, task, run, model.Outcome.FAILED, "")
+        context.harness.report(now, worker, 8000, (), (failed,))
+
+
+@then("no third run is started")
+def step_no_third_run(context: Any) -> None:
+    harness = context.harness
+    harness.report(17.0, "w2", 8000)
+    harness.plan(17.1)
+    orders = harness.report(17.2, "w2", 8000)
+    assert not orders.starts, orders
--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -134,7 +134,7 @@
         return Result(
             self._checks.starts,
             self._count("event='serving task moved'"),
-            self._count("event='task assigned'"),
+            self._count("event='tasks assigned'"),
             tuple(self._checks.violations),
         )
 
