--- a/features/steps/leaving_workers_steps.py
+++ b/features/steps/leaving_workers_steps.py
@@ -6,8 +6,8 @@
 from behave import given
 from behave import then
 from behave import when
-import msgspec
 from fleet_adapter import worker_format
+import msgspec
 
 from features.steps import filling_steps
 from fulmarrouter import commands
