Move no task while an order to stop another of its step may be in progress

Found by review: since the order to stop a task is withdrawn when its move is given up, or when a stalled run goes on, a stop that had been sent before was forgotten, and a second task of the step could be moved beside it.

--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -63,6 +63,12 @@
     When its worker is silent for longer than a move may take
     Then the task is no longer told to stop
 
+  # Guards against two tasks of a step that are stopped at the same time.
+  Scenario: A move is given up while its task may be stopping
+    Given two tasks of a step, of which one is to move
+    When its worker learns of the order just before the move is given up
+    Then no other task of the step is told to stop before it has stopped
+
   Scenario Outline: The log of a leader that runs a step <kind>
     Given a leader and a worker that has run a step <kind> to its end
     Then its log has <assigned> lines on assignments and <ended> on ends without a failure
--- a/features/leader_changes.feature
+++ b/features/leader_changes.feature
@@ -31,7 +31,7 @@
 
   # Guards against two tasks of a step that are stopped to move at the same time.
   Scenario: A new leader is elected while a serving task stops to move
-    Given two tasks of a step, of which an earlier leader moves one
+    Given two tasks of a step, of which one is to move
     When a new leader hears of the workers before the task has stopped
     Then it moves no other task of the step
 
--- a/features/steps/assignment_steps.py
+++ b/features/steps/assignment_steps.py
@@ -1,5 +1,6 @@
 """Steps on assignments that are made while others await their commit."""
 
+import math
 from typing import Any
 
 from behave import given
@@ -178,6 +179,39 @@
     assert found == [worker], found
 
 
+# Orders to stop that are in flight.
+
+# From when on the worker gets its answers; the move is given up after 8.0 s.
+ORDER_ARRIVES_AT_S = 7.8
+STOP_S = 0.4
+
+
+@when("its worker learns of the order just before the move is given up")
+def step_order_arrives_late(context: Any) -> None:
+    cluster = context.cluster
+    context.other_stops = []
+    stops_at = math.inf
+    for tenth in range(50, 90):
+        now = tenth / 10
+        if now >= stops_at:
+            cluster.tasks_by_worker["w0"].remove(MOVED_TASK)
+            break
+        ordered = cluster.stops(now)
+        if now >= ORDER_ARRIVES_AT_S and MOVED_TASK in ordered:
+            stops_at = min(stops_at, now + STOP_S)
+        context.other_stops += [
+            task
+            for task in ordered
+            if task != MOVED_TASK and task.startswith("odd.")
+        ]
+    assert stops_at < math.inf
+
+
+@then("no other task of the step is told to stop before it has stopped")
+def step_no_other_stop(context: Any) -> None:
+    assert not context.other_stops, context.other_stops
+
+
 # Capacity.
 
 
--- a/features/steps/leader_changes_steps.py
+++ b/features/steps/leader_changes_steps.py
@@ -115,8 +115,8 @@
     assert is_assigned == (which == "still assigned")
 
 
-@given("two tasks of a step, of which an earlier leader moves one")
-def step_earlier_move(context: Any) -> None:
+@given("two tasks of a step, of which one is to move")
+def step_one_moves(context: Any) -> None:
     cluster = context.cluster = serving_moves_steps._Cluster()
     cluster.learn_effects()
     cluster.tasks_by_worker["w2"] = []
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -460,6 +460,7 @@
                     stop = requests.StopOrder(task_id, run)
                     if budget.admits(stop):
                         stops.append(stop)
+                        view.stop_sent_by_task[task_id] = (run, now)
                 elif spec.fills:
                     pace = self.interference.next_pace_order(
                         now, view.key, task_id
--- a/fulmarrouter/cluster/run_monitor.py
+++ b/fulmarrouter/cluster/run_monitor.py
@@ -63,6 +63,11 @@
         The mark goes if a run makes progress before it has been stopped.
         """
         view.progress.retain(set(view.running))
+        view.stop_sent_by_task = {
+            task: sent
+            for task, sent in view.stop_sent_by_task.items()
+            if task in view.running
+        }
         previously_stalled = view.stalled
         view.stalled = {}
         for task_id, item in view.running.items():
--- a/fulmarrouter/cluster/serving_moves.py
+++ b/fulmarrouter/cluster/serving_moves.py
@@ -265,7 +265,7 @@
                 running is None
                 or running.run != task.run
                 or running.percent < stall_detection.READY_PERCENT
-                or view.must_stop(task_id, task.run)
+                or view.may_be_stopping(now, task_id, task.run)
             ):
                 return False
         return True
