Move paused tasks one after the other where only some may be unavailable

Found by review: a long-running filling task whose step limits how many may be unavailable stayed paused for ever, even with a free worker beside it. Change: as many are moved at a time as the limit allows; those that wait, start or are being stopped count as unavailable. Evidence: the row with the limit 1 of "Long-running filling tasks on 3 workers are paused" asks for one stop now and failed before; a row with the limit 0 asks for none.

--- a/features/filling.feature
+++ b/features/filling.feature
@@ -36,7 +36,8 @@
     Examples:
       | limit | count |
       | all   | 3     |
-      | 1     | 0     |
+      | 1     | 1     |
+      | 0     | 0     |
 
   Scenario Outline: An effect that a leader has learned is known to the next leader, from <source>
     Given a leader that has learned the effect of a filling image on a serving image
--- a/fulmarrouter/cluster/interference_control.py
+++ b/fulmarrouter/cluster/interference_control.py
@@ -15,6 +15,7 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import pacing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import stall_detection
 from fulmarrouter.cluster import state as state_lib
 
 # Latency readings are averages over time, so reports in closer succession add
@@ -40,6 +41,7 @@
 
     running: requests.ActiveRun
     job: state_lib.Job
+    key: state_lib.StepKey
     spec: model.StepSpec
 
 
@@ -108,6 +110,9 @@
         self.effects = interference_model.InterferenceModel(inherited_effects)
         self._state_by_worker: dict[state_lib.WorkerKey, _WorkerState] = {}
         self._pinned_jobs: set[model.JobId] = set()
+        # Runs at work of long-running filling tasks of which only some may be
+        # unavailable.
+        self._run_at_work_by_task: dict[model.TaskId, int] = {}
 
     def pin_job(self, job: model.JobId) -> None:
         """Keeps a job's paused filling tasks on their workers.
@@ -139,9 +144,10 @@
             worker_state.baseline_headroom_by_image = (
                 self._min_baseline_by_image(now, reported_tasks)
             )
+        self._record_tasks_at_work(now, view, reported_tasks)
         if is_first_report:
             _assume_unknown_paces(now, worker_state, reported_tasks)
-        self._update_paces(now, view, worker_state, reported_tasks)
+        self._update_paces(now, state, view, worker_state, reported_tasks)
 
     def forget_worker(self, key: state_lib.WorkerKey) -> None:
         """Drops the state of a worker incarnation that has ended."""
@@ -153,6 +159,12 @@
             if not state.is_job_active(job_id):
                 self.effects.forget_job(job_id)
         self._pinned_jobs = set(filter(state.is_job_active, self._pinned_jobs))
+        self._run_at_work_by_task = {
+            task: run
+            for task, run in self._run_at_work_by_task.items()
+            if (found := state.find_task(task)) is not None
+            and found[0].is_active
+        }
 
     def is_paused(self, key: state_lib.WorkerKey, task: model.TaskId) -> bool:
         """Whether a filling task's pace is 0."""
@@ -268,6 +280,7 @@
     def _update_paces(
         self,
         now: float,
+        state: state_lib.State,
         view: fleet_lib.WorkerView,
         worker_state: _WorkerState,
         reported_tasks: list[_ReportedTask],
@@ -313,22 +326,68 @@
                 pace.percent = percent
                 pace.changed_at = now
             is_move_due = now - pace.changed_at >= self._move_delay_s
-            if not pace.percent and is_move_due and self._can_move(reported):
+            if (
+                not pace.percent
+                and is_move_due
+                and self._can_move(state, reported)
+            ):
                 view.stop_requested[task] = run
+                self._run_at_work_by_task.pop(task, None)
 
-    def _can_move(self, reported: _ReportedTask) -> bool:
-        """Whether a filling task may be moved without losing much work.
-
-        Paces are set for each worker by itself, so tasks of which only some may be
-        unavailable at a time stay.
-        """
-        spec = reported.spec
-        if spec.runs_until_cancelled and spec.max_unavailable >= 0:
+    def _can_move(
+        self, state: state_lib.State, reported: _ReportedTask
+    ) -> bool:
+        """Whether a filling task may be moved without losing much work."""
+        if reported.job.id in self._pinned_jobs:
             return False
-        return reported.job.id not in self._pinned_jobs and (
-            spec.supports_checkpoints
+        if not (
+            reported.spec.supports_checkpoints
             or reported.running.percent < pacing.UNSAVED_MOVE_LIMIT_PERCENT
-        )
+        ):
+            return False
+        return not _is_availability_limited(
+            reported.spec
+        ) or self._may_lose_task(state, reported)
+
+    def _may_lose_task(
+        self, state: state_lib.State, reported: _ReportedTask
+    ) -> bool:
+        """Whether one more task of the step may be unavailable."""
+        key = reported.key
+        step = state.find_step(key)
+        assert step is not None
+        away = 0
+        for index, task in enumerate(step.tasks):
+            task_id = model.format_task_id(
+                key.job, key.occurrence, key.step, index
+            )
+            away += (
+                task.phase is not model.TaskPhase.ASSIGNED
+                or self._run_at_work_by_task.get(task_id) != task.run
+            )
+        return away < reported.spec.max_unavailable
+
+    def _record_tasks_at_work(
+        self,
+        now: float,
+        view: fleet_lib.WorkerView,
+        reported_tasks: list[_ReportedTask],
+    ) -> None:
+        for reported in reported_tasks:
+            running = reported.running
+            if (
+                _is_availability_limited(reported.spec)
+                and running.percent >= stall_detection.READY_PERCENT
+                and not view.may_be_stopping(now, running.task, running.run)
+            ):
+                self._run_at_work_by_task[running.task] = running.run
+
+
+def _is_availability_limited(spec: model.StepSpec) -> bool:
+    """Whether only some of a step's filling tasks may be unavailable."""
+    return (
+        spec.fills and spec.runs_until_cancelled and spec.max_unavailable >= 0
+    )
 
 
 def _assume_unknown_paces(
@@ -375,4 +434,4 @@
         found = state.find_task(item.task)
         if found is not None:
             job, key, _, _ = found
-            yield _ReportedTask(item, job, job.spec.steps[key.step])
+            yield _ReportedTask(item, job, key, job.spec.steps[key.step])
