Withhold a start beside unwanted runs only if it exceeds the limit

Found by review: any unwanted run of the same step withheld a start, also far below the limit per worker, until it had stopped. Change: all runs of the step on the worker are counted against the limit.

--- a/fulmarrouter/cluster/assignment_limits.py
+++ b/fulmarrouter/cluster/assignment_limits.py
@@ -113,7 +113,11 @@
         return True
     if not commands.Resources().fits_in(view.free_resources()):
         return True
-    return bool(state.spec_of(key).max_per_worker) and any(
-        found is not None and found[1] == key
-        for found in map(state.find_task, view.unwanted_runs)
-    )
+    spec = state.spec_of(key)
+    if not spec.max_per_worker:
+        return False
+    others = {*state.runs_by_worker.get(view.key, {}), *view.unwanted_runs}
+    others.discard(task)
+    found = map(state.find_task, others)
+    tasks = sum(item is not None and item[1] == key for item in found)
+    return is_at_limit(spec, tasks)
