--- a/fulmarrouter/cluster/departures.py
+++ b/fulmarrouter/cluster/departures.py
@@ -29,7 +29,7 @@
     def record(self, key: state_lib.WorkerKey) -> None:
         """Records that an incarnation, and with it earlier ones, has left."""
         known, _ = self._left_by_worker.get(key.worker, (0, None))
-        if key.incarnation >= known:
+        if key.incarnation > known:
             self._left_by_worker[key.worker] = (key.incarnation, None)
 
     def has_left(self, now: float, key: state_lib.WorkerKey) -> bool:
