Check in histories that the success of a run followed by another isn't acknowledged

What callers saw: a task that must run once ran again after it had succeeded. The histories only checked that no task starts after its success was acknowledged. They didn't check the other order, in which the task starts again first and the acknowledgement follows, and no worker of theirs left gracefully or sent anything late.

Change: EndChecks records when runs end, when tasks start and when leases expire. A new kind of history has reports that arrive up to 4 s late or after a partition, leaves without an incarnation as the platform sends them, and keeper faults beside them.

--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -67,6 +67,16 @@
       | first | last |
       | 0     | 9    |
 
+  # Guards against a task that is started again although the success of an earlier
+  # run is acknowledged.
+  Scenario Outline: Workers are gone when their last reports arrive, seeds <first> to <last>
+    When cluster histories <first> to <last> of workers that are gone when their last reports arrive are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 60    | 79   |
+
   Scenario Outline: The histories detect that <mechanism>
     When cluster histories are run while <mechanism>
     Then at least one history violates an invariant
--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -13,6 +13,7 @@
 
 from features.support import cluster_scenarios
 from features.support import cluster_simulation
+from features.support import departure_scenarios
 from features.support import limit_scenarios
 from fulmarrouter import codes
 from fulmarrouter import consensus
@@ -52,6 +53,9 @@
     "of gangs that may not run on every worker": (
         limit_scenarios.run_limited_gangs
     ),
+    "of workers that are gone when their last reports arrive": (
+        departure_scenarios.run_departures
+    ),
 }
 
 
--- a/features/support/cluster_simulation.py
+++ b/features/support/cluster_simulation.py
@@ -7,10 +7,12 @@
 not from the keepers' state.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 import math
 
+from features.support import end_checks
 from features.support import simulated_keepers
 from features.support import simulated_processes
 from features.support import worker_limits
@@ -50,6 +52,7 @@
         seed: Seed of all that is random.
         workers: The workers; four alike by default.
         effects: Interference effects that the keepers know from the start.
+        lease_s: How long workers may run tasks without a renewed lease.
 
     Attributes:
         failure_share: Share of the runs that fail.
@@ -58,10 +61,7 @@
         refused_jobs: Jobs of which each submission was refused.
         cancelling_answered_at: When a cancelling was first answered.
         jobs_shown_done: Jobs that a caller was shown as done.
-        tasks_ended_done: Tasks that have succeeded on a worker.
-        tasks_acknowledged_done: Those whose success the leader acknowledged.
-        acknowledged_failures_by_task: How many failures of each task the leader
-            has acknowledged.
+        ends: The ends of runs on the workers.
         newest_version_read: Newest configuration version that was read.
         acknowledged_version: Newest configuration version that was accepted.
         start_count: How many tasks have been started.
@@ -72,8 +72,9 @@
         seed: int,
         workers: Sequence[simulated_processes.Worker] = (),
         effects: Iterable[log_commands.InterferenceEffect] = (),
+        lease_s: float = simulated_keepers.LEASE_S,
     ) -> None:
-        super().__init__(seed, effects)
+        super().__init__(seed, effects, lease_s)
         self.workers = list(workers) or [
             simulated_processes.Worker(model.WorkerId(f"w{n}"))
             for n in range(4)
@@ -85,9 +86,7 @@
         self.cancelled_jobs: set[model.JobId] = set()
         self.cancelling_answered_at: dict[model.JobId, float] = {}
         self.jobs_shown_done: set[model.JobId] = set()
-        self.tasks_ended_done: set[model.TaskId] = set()
-        self.tasks_acknowledged_done: set[model.TaskId] = set()
-        self.acknowledged_failures_by_task: dict[model.TaskId, int] = {}
+        self.ends = end_checks.EndChecks()
         self.spec_by_job: dict[model.JobId, model.JobSpec] = {}
         self.queue_by_job: dict[model.JobId, model.Queue] = {}
         self.newest_version_read = 0
@@ -293,30 +292,37 @@
         worker: simulated_processes.Worker,
         delay_s: float,
         names_incarnation: bool,
+        on_reply: Callable[[requests.AnyReply], None] = lambda reply: None,
     ) -> None:
-        """Sends, after a delay, that a worker has stopped all and left.
-
-        Without an incarnation this also ends the runs of a later one in the
-        keepers' state, although they go on.
-        """
+        """Sends, after a delay, that a worker leaves."""
         incarnation = worker.incarnation if names_incarnation else 0
         request = requests.WorkerLeft(worker.worker, incarnation)
+        self.call_later(
+            delay_s,
+            lambda: self.send_request(self.pick_host(), request, on_reply),
+        )
 
-        def send() -> None:
-            for known in self.workers:
-                if known.worker == request.worker and not incarnation:
-                    known.disowned_until = self.now + REQUEST_S
-                    for run in known.runs.values():
+    def disown(self, name: model.WorkerId, delay_s: float) -> None:
+        """Marks a worker as said to have left after a delay, though it has not.
+
+        Its runs are ended in the keepers' state, although they go on.
+        """
+
+        def mark() -> None:
+            for worker in self.workers:
+                if worker.worker == name:
+                    worker.disowned_until = self.now + REQUEST_S
+                    for run in worker.runs.values():
                         run.is_disowned = True
-            self.send_request(self.pick_host(), request, lambda reply: None)
 
-        self.call_later(delay_s, send)
+        self.call_later(delay_s, mark)
 
     def _step_worker(self, worker: simulated_processes.Worker) -> None:
         if not worker.alive:
             return
         # A worker ends its tasks by itself when its lease has expired.
-        if worker.runs and self.now >= worker.lease_until:
+        if self.now >= worker.lease_until:
+            worker.lease_expired_at = self.now
             for task in list(worker.runs):
                 self._end_run(worker, task, model.Outcome.LOST)
         for task, run in list(worker.runs.items()):
@@ -347,12 +353,10 @@
         outcome: model.Outcome,
     ) -> None:
         run = worker.runs.pop(task)
-        if outcome is model.Outcome.DONE:
-            self.tasks_ended_done.add(task)
         worker.end_count += 1
-        worker.ended.append(
-            requests.EndedRun(worker.end_count, task, run.run, outcome, "")
-        )
+        end = requests.EndedRun(worker.end_count, task, run.run, outcome, "")
+        worker.ended.append(end)
+        self.ends.on_ended(self.now, worker, end)
         worker.next_report_at = min(worker.next_report_at, self.now + 0.05)
 
     def _send_report(self, worker: simulated_processes.Worker) -> None:
@@ -387,6 +391,8 @@
                 and worker.sequence == sequence
             )
             if not is_current:
+                if not worker.alive and isinstance(reply, requests.Orders):
+                    self.ends.on_answer(self.now, worker, reply)
                 return
             worker.awaiting_reply_since = None
             if isinstance(reply, requests.Orders):
@@ -398,6 +404,14 @@
                 worker.target_host = int(leader.split(":")[0].split(".")[3]) - 1
             worker.next_report_at = self.now + 0.1
 
+        self._transmit_report(worker, report, on_reply)
+
+    def _transmit_report(
+        self,
+        worker: simulated_processes.Worker,
+        report: requests.WorkerReport,
+        on_reply: Callable[[requests.AnyReply], None],
+    ) -> None:
         if not worker.cut_off:
             self.send_request(self.hosts[worker.target_host], report, on_reply)
 
@@ -429,14 +443,7 @@
         worker.lease_until = max(
             worker.lease_until, sent_at + orders.lease_ms / 1000
         )
-        for item in worker.ended:
-            if item.number <= orders.acknowledged_end_number:
-                self._record_acknowledged_end(item)
-        worker.ended = [
-            item
-            for item in worker.ended
-            if item.number > orders.acknowledged_end_number
-        ]
+        self.ends.on_answer(self.now, worker, orders)
         for stop in orders.stops:
             run = worker.runs.get(stop.task)
             if run is not None and run.run == stop.run:
@@ -466,14 +473,6 @@
         elif run.stops_at == math.inf:
             run.stops_at = self.now + self._rng.uniform(0.0, self.max_stop_s)
 
-    def _record_acknowledged_end(self, item: requests.EndedRun) -> None:
-        if item.outcome is model.Outcome.DONE:
-            self.tasks_acknowledged_done.add(item.task)
-        elif item.outcome is model.Outcome.FAILED:
-            self.acknowledged_failures_by_task[item.task] = (
-                self.acknowledged_failures_by_task.get(item.task, 0) + 1
-            )
-
     # Invariants.
 
     def _start_run(
@@ -499,16 +498,13 @@
             raise InvariantViolationError(
                 f"{start.task} started although its job was cancelled"
             )
-        if start.task in self.tasks_acknowledged_done:
-            raise InvariantViolationError(
-                f"{start.task} started after its success was acknowledged"
-            )
+        self.ends.on_started(self.now, start.task)
         if job in self.jobs_shown_done:
             raise InvariantViolationError(
                 f"{start.task} started after its job was shown as done"
             )
         if (
-            self.acknowledged_failures_by_task.get(start.task, 0)
+            self.ends.acknowledged_failures_by_task.get(start.task, 0)
             >= QUEUE.max_attempts
         ):
             raise InvariantViolationError(
@@ -519,7 +515,7 @@
             for index in range(spec.steps[earlier].count):
                 name = model.format_task_id(job, 0, earlier, index)
                 if (
-                    name not in self.tasks_ended_done
+                    name not in self.ends.tasks_ended_done
                     and not spec.steps[earlier].gang
                 ):
                     raise InvariantViolationError(
--- /dev/null
+++ b/features/support/departure_scenarios.py
@@ -0,0 +1,136 @@
+"""Histories of workers that are gone when the last that they sent arrives.
+
+Workers leave, or crash behind a partition, and start again under their id. Their
+reports arrive seconds late, after those of the next incarnation or at the next
+leader.
+"""
+
+from collections.abc import Callable
+import random
+
+from features.support import cluster_scenarios
+from features.support import cluster_simulation
+from features.support import simulated_processes
+from fulmarrouter.cluster import requests
+
+LEASE_S = 6.0
+# Share of the reports of reachable workers that arrive late.
+LATE_SHARE = 0.05
+LATE_LEAVING_SHARE = 0.5
+MAX_LATE_S = 4.0
+# Share of the reports held back by a partition that arrive when it ends.
+HELD_SHARE = 0.7
+MAX_HELD_S = 0.4
+# How long a worker goes on after its leave if that isn't answered.
+UNANSWERED_LEAVE_S = (1.0, 4.0)
+EXTRA_TIME_S = 60.0
+
+
+class LateReportSimulation(cluster_simulation.ClusterSimulation):
+    """Simulates workers whose reports may arrive late."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, lease_s=LEASE_S)
+        self._held_reports: list[
+            tuple[simulated_processes.Worker, Callable[[], None]]
+        ] = []
+
+    def _transmit_report(
+        self,
+        worker: simulated_processes.Worker,
+        report: requests.WorkerReport,
+        on_reply: Callable[[requests.AnyReply], None],
+    ) -> None:
+        def send_late() -> None:
+            self.send_request(self.pick_host(), report, on_reply)
+
+        if worker.cut_off:
+            if self._rng.random() < HELD_SHARE:
+                self._held_reports.append((worker, send_late))
+        elif self._rng.random() < (
+            LATE_LEAVING_SHARE if worker.draining else LATE_SHARE
+        ):
+            self.call_later(self._rng.uniform(0.0, MAX_LATE_S), send_late)
+        else:
+            super()._transmit_report(worker, report, on_reply)
+
+    def end_partition(self, name: str) -> None:
+        """Reconnects a worker; what the partition has held back arrives."""
+        for worker in self.workers:
+            if worker.worker == name:
+                worker.cut_off = False
+        for item in list(self._held_reports):
+            if item[0].worker == name:
+                self._held_reports.remove(item)
+                self.call_later(self._rng.uniform(0.0, MAX_HELD_S), item[1])
+
+    def leave(self, worker: simulated_processes.Worker) -> None:
+        """Lets a worker say that it leaves; it ends once that is answered.
+
+        Without an answer it ends some seconds later.
+        """
+        if not worker.alive or worker.cut_off:
+            return
+
+        def on_reply(reply: requests.AnyReply) -> None:
+            if isinstance(reply, requests.Accepted):
+                self.kill_worker(worker)
+
+        worker.draining = True
+        if worker.awaiting_reply_since is None:
+            self._send_report(worker)
+        self.send_leave(worker, 0.0, names_incarnation=False, on_reply=on_reply)
+        self.call_later(
+            self._rng.uniform(*UNANSWERED_LEAVE_S),
+            lambda: self.kill_worker(worker),
+        )
+
+
+def run_departures(seed: int, steps: int = 60) -> LateReportSimulation:
+    """Runs a history of workers that leave, crash and come back.
+
+    Raises:
+        InvariantViolationError: An invariant does not hold.
+    """
+    simulation = LateReportSimulation(seed)
+    simulation.run_until(6.0)
+    simulation.replace_configuration(1)
+    simulation.run_until(6.5)
+    # Independent of the simulation's generator.
+    rng = random.Random(seed * 7919 + 8)
+    for _ in range(steps):
+        worker = rng.choice(simulation.workers)
+        match rng.randrange(14):
+            case 0 | 1 | 2 | 3:
+                simulation.submit_job()
+            case 4 | 5:
+                worker.cut_off = True
+            case 6:
+                worker.cut_off = True
+                simulation.run_until(simulation.now + rng.uniform(0.3, 1.0))
+                simulation.kill_worker(worker)
+            case 7 | 8:
+                simulation.revive_worker(worker)
+                simulation.end_partition(worker.worker)
+            case 9:
+                worker.draining = True
+            case 10:
+                simulation.leave(worker)
+            case 11:
+                cluster_scenarios.inject_keeper_fault(simulation, rng)
+            case 12:
+                simulation.leave(worker)
+                simulation.run_until(simulation.now + rng.uniform(0.0, 0.8))
+                cluster_scenarios.inject_keeper_fault(simulation, rng)
+            case 13:
+                for host in simulation.hosts:
+                    host.cut_off = False
+                    host.isolated = False
+                    simulation.restart(host)
+        simulation.run_until(simulation.now + rng.choice((0.05, 0.2, 0.6)))
+    for worker in list(simulation.workers):
+        simulation.kill_worker(worker)
+        simulation.revive_worker(worker)
+        simulation.end_partition(worker.worker)
+    simulation.quiesce(EXTRA_TIME_S)
+    return simulation
--- a/features/support/limit_scenarios.py
+++ b/features/support/limit_scenarios.py
@@ -355,19 +355,20 @@
     if not worker.alive:
         return
     history.simulation.kill_worker(worker)
-    history.simulation.send_leave(
-        worker,
-        history.rng.choice((0.0, 0.0, 0.5, 3.0)),
-        names_incarnation=history.rng.random() < 0.7,
-    )
+    delay_s = history.rng.choice((0.0, 0.0, 0.5, 3.0))
+    names_incarnation = history.rng.random() < 0.7
+    if not names_incarnation:
+        # It may arrive after the worker has restarted.
+        history.simulation.disown(worker.worker, delay_s)
+    history.simulation.send_leave(worker, delay_s, names_incarnation)
 
 
 @_event(1)
 def say_left(history: LimitHistory) -> None:
     """Another process says, wrongly, that a worker has left."""
-    history.simulation.send_leave(
-        history.pick_worker(), 0.0, names_incarnation=False
-    )
+    worker = history.pick_worker()
+    history.simulation.disown(worker.worker, 0.0)
+    history.simulation.send_leave(worker, 0.0, names_incarnation=False)
 
 
 @_event(1)
--- a/features/support/simulated_keepers.py
+++ b/features/support/simulated_keepers.py
@@ -33,6 +33,7 @@
     Args:
         seed: Seed of all that is random.
         effects: Interference effects that the keepers know from the start.
+        lease_s: How long workers may run tasks without a renewed lease.
 
     Attributes:
         loss: Probability that a message between hosts, or a reply to a request,
@@ -45,8 +46,10 @@
         self,
         seed: int,
         effects: Iterable[log_commands.InterferenceEffect] = (),
+        lease_s: float = LEASE_S,
     ) -> None:
         self._rng = random.Random(seed)
+        self._lease_s = lease_s
         self.now = 0.0
         self._event_order = itertools.count()
         self._events: list[tuple[float, int, Any]] = []
@@ -95,7 +98,7 @@
         host.controller = controller_lib.Controller(
             replica,
             controller_lib.ControllerSettings(3, CONTROL_PORT),
-            dispatcher.DispatchSettings(lease_s=LEASE_S),
+            dispatcher.DispatchSettings(lease_s=self._lease_s),
         )
         host.pending_syncs = []
 
--- a/features/support/simulated_processes.py
+++ b/features/support/simulated_processes.py
@@ -112,9 +112,11 @@
         disowned_until: Until then, a request may arrive by which another
             process says that the worker has left.
         lease_until: Time until which it may run tasks.
+        lease_expired_at: When it last held no lease.
         highest_token: Highest fencing token of the orders applied so far.
         ended: Ended runs that the leader has not acknowledged yet.
         end_count: How many runs have ended; numbers the ended runs.
+        ended_at_by_number: When each of them ended.
         highest_run_by_task: Newest run of each task that was started or
             stopped. Orders to start an older one are ignored.
         next_report_at: Time of the next report, unless one is in progress.
@@ -128,10 +130,14 @@
     alive: bool = True
     cut_off: bool = False
     lease_until: float = 0.0
+    lease_expired_at: float = 0.0
     highest_token: int = 0
     runs: dict[model.TaskId, Run] = dataclasses.field(default_factory=dict)
     ended: list[requests.EndedRun] = dataclasses.field(default_factory=list)
     end_count: int = 0
+    ended_at_by_number: dict[int, float] = dataclasses.field(
+        default_factory=dict
+    )
     highest_run_by_task: dict[model.TaskId, int] = dataclasses.field(
         default_factory=dict
     )
