Log successes of runs that had been taken for over

The logs couldn't tell the hypotheses on a task that is started again apart: a run that is taken for over has a line, the success that is reported after it has none. The line names the worker and the incarnation that reported it, and the latest run of the task.

--- a/fulmarrouter/cluster/run_log.py
+++ b/fulmarrouter/cluster/run_log.py
@@ -71,6 +71,7 @@
         """Logs the ends of runs before they are applied."""
         texts = []
         for end in command.ends:
+            self._log_late_success(state, index, end)
             if end.outcome in LOGGED_OUTCOMES:
                 self._decisions.add(
                     "run ended",
@@ -90,6 +91,27 @@
                 "runs ended", index=index, **_list_fields(texts)
             )
 
+    def _log_late_success(
+        self, state: state_lib.State, index: int, end: log_commands.RunEnd
+    ) -> None:
+        """Logs a success of a run that had been taken for over."""
+        found = state.find_task(end.task)
+        if end.outcome is not model.Outcome.DONE or found is None:
+            return
+        task = found[3]
+        if task.run == end.run and task.phase is not model.TaskPhase.WAITING:
+            return
+        self._decisions.add(
+            "late success",
+            task=end.task,
+            run=end.run,
+            worker=end.worker,
+            incarnation=end.incarnation,
+            latest_run=task.run,
+            phase=task.phase.name,
+            index=index,
+        )
+
 
 def _list_fields(texts: list[str]) -> dict[str, object]:
     return {
