Take a worker for gone only once it has been silent after its leave

Cause: a leave ended the worker's runs at once, and they were started elsewhere in the next round. A report sent before the leave may arrive after it; its successes were then acknowledged. The guard against that worked only for leaves that name an incarnation, and the platform sends leaves without a body. A worker whose leave isn't answered also goes on for some seconds.

Change: a leave announces a departure. The worker is gone after 2 s of silence, which leaves time for one lost report; one that is still heard is taken for gone with its lease only. Reports after that are refused, whether or not the leave named an incarnation. Since a later leader doesn't know who is gone, the success of a run that another one has followed is acknowledged only once its worker has been heard for the time of a lease. The meaning of log commands is unchanged.

Three rows that expected the runs to end within 0.2 s of a leave now wait 2.1 s, and the row that expected a worker to be heard 1 s after a leave without an incarnation asks for the opposite: that was the fault. A worker that goes on reporting keeps its runs, which new rows check. Steps that used a leave to lose a worker lose it directly.

--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -97,12 +97,20 @@
       | first | last |
       | 0     | 9    |
 
-  Scenario Outline: The histories detect that <mechanism>
-    When cluster histories of tasks that may not run on every worker are run from seed <first> on while <mechanism>
+  Scenario Outline: Runs succeed while they are started elsewhere, seeds <first> to <last>
+    When cluster histories <first> to <last> of runs that succeed while they are started elsewhere are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 0     | 29   |
+
+  Scenario Outline: The histories <kind> detect that <mechanism>
+    When cluster histories <kind> are run from seed <first> on while <mechanism>
     Then at least one history violates an invariant
 
     Examples:
-      | first | mechanism                                                |
-      | 0     | only applied assignments count for the limit per worker  |
-      | 18    | the limits are not checked when a task is assigned       |
-      | 2     | runs that are no longer wanted do not count              |
+      | kind                                                | first | mechanism                                               |
+      | of tasks that may not run on every worker           | 0     | only applied assignments count for the limit per worker |
+      | of tasks that may not run on every worker           | 18    | the limits are not checked when a task is assigned      |
+      | of runs that succeed while they are started elsewhere | 9     | runs that are no longer wanted do not count             |
--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -75,8 +75,18 @@
 
     Examples:
       | first | last |
+      | 0     | 9    |
       | 60    | 79   |
 
+  Scenario Outline: The histories <kind> detect that <mechanism>
+    When cluster histories <kind> are run from seed <first> on while <mechanism>
+    Then at least one history violates an invariant
+
+    Examples:
+      | kind                                                    | first | mechanism                                               |
+      | of workers that are gone when their last reports arrive | 31    | a worker that says that it leaves is gone at once       |
+      | of workers that are gone when their last reports arrive | 13    | late reports of workers that are gone are acknowledged |
+
   Scenario Outline: The histories detect that <mechanism>
     When cluster histories are run while <mechanism>
     Then at least one history violates an invariant
--- a/features/leaving_workers.feature
+++ b/features/leaving_workers.feature
@@ -4,7 +4,7 @@
 
   Scenario Outline: A worker restarts as incarnation 2 and runs a task, and incarnation <left> is said to have left
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation <left> is said to have left, and 0.2 s pass
+    When incarnation <left> is said to have left, and it is silent for 2.1 s
     Then the phase of the task is <phase>
 
     Examples:
@@ -16,7 +16,7 @@
 
   Scenario Outline: The leader's log shows that incarnation <left> has left
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation <left> is said to have left, and 0.2 s pass
+    When incarnation <left> is said to have left, and it is silent for 2.1 s
     Then a line says that it has left with <runs> runs, known <known>, late <late>
 
     Examples:
@@ -27,8 +27,8 @@
 
   Scenario: The leader's log shows that a worker that has left says so again
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation 2 is said to have left, and 0.2 s pass
-    And incarnation 2 is said to have left, and 0.2 s pass
+    When incarnation 2 is said to have left, and it is silent for 2.1 s
+    And incarnation 2 is said to have left, and it is silent for 2.1 s
     Then a line says that it has left with 0 runs, known False, late False
 
   # Guards against a task that runs twice, because a report of another writer is taken
@@ -75,9 +75,9 @@
       | gang of 2 tasks | the assignment to another is pending    | 2     |
       | gang of 2 tasks | another worker has been told to start   | 2     |
 
-  Scenario Outline: A report of incarnation <born> arrives <seconds> s after incarnation <left> is said to have left
+  Scenario Outline: A report of incarnation <born> arrives <seconds> s after incarnation <left> is gone
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation <left> is said to have left, and 0.2 s pass
+    When incarnation <left> is said to have left, and it is silent for 2.1 s
     And incarnation <born> says <seconds> s later that the task is done
     Then its report is <answer>
 
@@ -87,18 +87,19 @@
       | 2    | 2    | 11      | answered |
       | 2    | 3    | 1       | answered |
       | 1    | 2    | 1       | answered |
-      | 0    | 2    | 1       | answered |
+      | 0    | 2    | 9       | refused  |
+      | 0    | 2    | 11      | answered |
 
   Scenario: A worker that is still there after its leave is told to stop what it runs
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation 2 is said to have left, and 0.2 s pass
+    When incarnation 2 is said to have left, and it is silent for 2.1 s
     And incarnation 2 says 1 s later that the task runs
     Then it is told to stop the task, with the fencing token of the leader
 
   # Guards against the end of a later run that is forgotten before it is committed.
   Scenario: The success of a task arrives after its worker has left and has restarted
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation 2 is said to have left, and 0.2 s pass
+    When incarnation 2 is said to have left, and it is silent for 2.1 s
     And it restarts as incarnation 3 before the report that the task is done arrives
     Then the phase of the task is DONE
     And no end of incarnation 3 is acknowledged
@@ -106,10 +107,65 @@
   # Guards against tasks that wait for a worker that is gone.
   Scenario: No task is assigned to a worker whose report arrives after its leave
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation 2 is said to have left, and 0.2 s pass
+    When incarnation 2 is said to have left, and it is silent for 2.1 s
     And incarnation 2 says 1 s later that the task is done
     Then a task that waits is assigned to no worker
 
+  # Guards against a task that is started again although the success of an earlier
+  # run is acknowledged: the leave, as the platform sends it, names no incarnation.
+  Scenario Outline: A worker leaves, naming <left>, and its success arrives after <seconds> s
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When it leaves, naming incarnation <left>, and is silent for <seconds> s
+    And its report that the task is done arrives
+    Then the success is <answer>, and another worker has been told to start <count> tasks
+
+    Examples:
+      | left | seconds | answer           | count |
+      | 0    | 1.6     | acknowledged     | 0     |
+      | 0    | 3.0     | not acknowledged | 1     |
+      | 2    | 1.6     | acknowledged     | 0     |
+      | 2    | 3.0     | not acknowledged | 1     |
+
+  # Guards against a task that runs twice, because its worker has not left yet.
+  Scenario Outline: A worker leaves, naming <left>, and still reports <state> for <seconds> s
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When it leaves, naming incarnation <left>, and still reports <state> for <seconds> s
+    And its report that the task is done arrives
+    Then the success is acknowledged, and another worker has been told to start 0 tasks
+
+    Examples:
+      | left | state    | seconds |
+      | 0    | draining | 4       |
+      | 2    | draining | 4       |
+      | 0    | draining | 12      |
+      | 0    | ready    | 4       |
+      | 1    | ready    | 4       |
+
+  Scenario Outline: A worker still reports <state> for 2 s after its leave, then it is silent for <seconds> s
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When it leaves, naming incarnation 0, and still reports <state> for 2 s
+    And it is silent for <seconds> s
+    And its report that the task is done arrives
+    Then the success is <answer>, and another worker has been told to start <count> tasks
+
+    Examples:
+      | state    | seconds | answer           | count |
+      | ready    | 6       | acknowledged     | 0     |
+      | draining | 6       | acknowledged     | 0     |
+      | draining | 7       | not acknowledged | 1     |
+
+  # Guards against the same under a new leader, which doesn't know who has left.
+  Scenario Outline: A new leader hears for <seconds> s of the success of a run that another has followed
+    Given a worker whose run was lost and whose task another worker was told to start
+    When a new leader hears for <seconds> s that the lost run is done
+    Then it has acknowledged the ends up to number <number>
+
+    Examples:
+      | seconds | number |
+      | 0       | 1      |
+      | 6       | 1      |
+      | 7       | 3      |
+
   # Guards against a run after the last attempt has failed (KNOWN-RED.txt).
   Scenario: The failure of an earlier run is reported after that of a later one
     Given a task with 2 attempts, of which the first was lost with its worker's lease
--- a/features/steps/assignment_steps.py
+++ b/features/steps/assignment_steps.py
@@ -24,12 +24,9 @@
 
 
 def _leave(context: Any, worker: str) -> None:
-    """Ends the runs of a worker that leaves."""
-    harness = context.cluster.harness
+    """Ends the runs of a worker that is gone."""
     context.cluster.tasks_by_worker.pop(worker)
-    left = requests.WorkerLeft(model.WorkerId(worker), 0)
-    for command in harness.dispatcher.on_left(harness.state, left):
-        harness.commit(command)
+    context.cluster.harness.lose_worker(worker)
 
 
 def _propose(context: Any, now: float) -> None:
@@ -293,9 +290,7 @@
         harness.commit(log_commands.EndRuns((done,)))
     else:
         harness.commit(_assignment(0, 1, "w"))
-        left = requests.WorkerLeft(model.WorkerId("w"), 0)
-        for command in harness.dispatcher.on_left(harness.state, left):
-            harness.commit(command)
+        harness.lose_worker("w")
     running = (requests.ActiveRun(context.task, context.run, "", 50),)
     harness.report(0.2, "w", 16_000, running)
     context.assignments = harness.plan(0.3)
@@ -325,9 +320,7 @@
 @when("the state ends the run, but the worker still reports it")
 def step_ended_run_goes_on(context: Any) -> None:
     harness = context.harness
-    left = requests.WorkerLeft(model.WorkerId("w"), 0)
-    for command in harness.dispatcher.on_left(harness.state, left):
-        harness.commit(command)
+    harness.lose_worker("w")
     harness.report(0.3, "w", 16_000, context.running)
 
 
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -14,6 +14,7 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import pacing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import run_ends
 from fulmarrouter.cluster import state as state_lib
 
 SERVICE = model.ServiceName("s")
@@ -52,6 +53,16 @@
         self.state.apply(self._index, command)
         self.dispatcher.on_applied(self.state, self._index)
 
+    def lose_worker(self, worker: str) -> None:
+        """Ends a worker's runs as lost, and forgets the worker."""
+        view = self.dispatcher.fleet.view_by_id[model.WorkerId(worker)]
+        for command in log_commands.end_runs(
+            run_ends.lost_runs(self.state, self.dispatcher.fleet, view.key)
+        ):
+            self.commit(command)
+        self.dispatcher.interference.forget_worker(view.key)
+        self.dispatcher.fleet.remove(view.key.worker)
+
     def submit(self, job: str, step: model.StepSpec) -> None:
         """Submits a job of one step."""
         spec = model.JobSpec("payload", (step,))
--- a/features/support/cluster_scenarios.py
+++ b/features/support/cluster_scenarios.py
@@ -284,6 +284,16 @@
             host.frozen_until = simulation.now + rng.uniform(0.5, 3.0)
 
 
+def crash_leader(simulation: cluster_simulation.ClusterSimulation) -> None:
+    """Crashes the leader, unless another keeper has a fault."""
+    hosts = simulation.hosts
+    if any(host.controller is None or host.is_partitioned for host in hosts):
+        return
+    for host in hosts:
+        if host.controller is not None and host.controller.is_active_leader:
+            simulation.crash(host, wipe=False)
+
+
 def _may_wipe(simulation: cluster_simulation.ClusterSimulation) -> bool:
     """Returns whether a disk may be lost now.
 
--- a/fulmarrouter/cluster/departures.py
+++ b/fulmarrouter/cluster/departures.py
@@ -1,55 +1,126 @@
-"""Remembers which incarnations of workers have left.
+"""Decides when a worker that says that it leaves is gone.
 
-A report may arrive seconds after the leave that its worker sent later. By then
-the worker's runs may have been started elsewhere, so it is not processed like
-others.
+A leave may arrive before reports that its worker sent earlier, or late, when the
+worker has started again, and need not name the incarnation. A worker that isn't
+answered goes on for some seconds. So a leave alone proves nothing: the worker is gone
+once it has said so and has been silent since; one that is still heard is gone when its
+lease has expired. Reports that arrive even later are not processed like others, since
+the runs may have been started elsewhere.
 """
 
+from collections.abc import Mapping
+import dataclasses
+
+from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import order_budget
+from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
-# For how long reports of a worker that has left are recognized. A report is
-# delayed for seconds, and a worker exits some seconds after its leave at the latest.
-# The time is limited so that a leave sent by mistake excludes no worker for good.
+# How long a worker waits for the answer to a report before it sends another one.
+REPORT_TIMEOUT_S = 1.0
+# Silence after which a worker that leaves is gone: its longest report interval, and
+# time for another report if the first is lost.
+SILENCE_S = report_timing.MAX_REPORT_INTERVAL_MS / 1000 + REPORT_TIMEOUT_S + 0.2
+# A report that arrives later than this after the leave was sent after it.
+REPORT_IN_PROGRESS_S = 0.3
+# For how long reports of a worker that is gone are recognized; at least as long as its
+# lease. The time is limited so that a leave sent by mistake excludes no worker for good.
 LATE_REPORT_S = 10.0
 
 
+@dataclasses.dataclass
+class _Leave:
+    """A leave of a worker that may not be gone yet.
+
+    Attributes:
+        incarnation: It and earlier ones leave.
+        said_at: When it was said; None before the first update.
+    """
+
+    incarnation: int
+    said_at: float | None = None
+
+
 class Departures:
-    """The workers that have left recently."""
-
-    def __init__(self) -> None:
-        # The incarnation up to which a worker has left, and until when that is
-        # remembered; None before the first update.
-        self._left_by_worker: dict[
-            model.WorkerId, tuple[int, float | None]
-        ] = {}
-
-    def record(self, key: state_lib.WorkerKey) -> None:
-        """Records that an incarnation, and with it earlier ones, has left."""
-        known, _ = self._left_by_worker.get(key.worker, (0, None))
-        if key.incarnation > known:
-            self._left_by_worker[key.worker] = (key.incarnation, None)
-
-    def has_left(self, now: float, key: state_lib.WorkerKey) -> bool:
-        """Whether the incarnation or a later one has left recently."""
-        incarnation, until = self._left_by_worker.get(key.worker, (0, now))
-        return key.incarnation <= incarnation and (until is None or now < until)
-
-    def update(self, now: float) -> None:
-        """Starts the time for new departures and drops old ones."""
-        self._left_by_worker = {
-            worker: (incarnation, now + LATE_REPORT_S)
-            if until is None
-            else (incarnation, until)
-            for worker, (incarnation, until) in self._left_by_worker.items()
-            if until is None or now < until
+    """The workers that leave and those that have left recently.
+
+    Args:
+        lease_s: Time after which a lease granted now has ended.
+    """
+
+    def __init__(self, lease_s: float) -> None:
+        self._late_report_s = max(LATE_REPORT_S, lease_s)
+        self._leave_by_worker: dict[model.WorkerId, _Leave] = {}
+        # The incarnation up to which a worker is gone, and until when that is
+        # remembered.
+        self._gone_by_worker: dict[model.WorkerId, tuple[int, float]] = {}
+
+    def announce(self, key: state_lib.WorkerKey) -> None:
+        """Records that an incarnation says that it leaves."""
+        known = self._leave_by_worker.get(key.worker)
+        if known is None or known.incarnation < key.incarnation:
+            self._leave_by_worker[key.worker] = _Leave(key.incarnation)
+
+    def withdraw(self, key: state_lib.WorkerKey) -> bool:
+        """Forgets the leave of an incarnation that has not left.
+
+        Returns:
+            Whether it had been said to leave.
+        """
+        known = self._leave_by_worker.get(key.worker)
+        if known is None or known.incarnation < key.incarnation:
+            return False
+        del self._leave_by_worker[key.worker]
+        return True
+
+    def take_gone(
+        self,
+        now: float,
+        view_by_id: Mapping[model.WorkerId, fleet_lib.WorkerView],
+    ) -> list[state_lib.WorkerKey]:
+        """Returns the workers that are gone since the last call.
+
+        Args:
+            now: Monotonic time.
+            view_by_id: The workers that report to the leader.
+        """
+        self._gone_by_worker = {
+            worker: (incarnation, until)
+            for worker, (incarnation, until) in self._gone_by_worker.items()
+            if now < until
         }
+        gone = []
+        for worker, leave in list(self._leave_by_worker.items()):
+            if leave.said_at is None:
+                leave.said_at = now
+            heard_at = leave.said_at
+            view = view_by_id.get(worker)
+            is_followed = (
+                view is not None and view.key.incarnation > leave.incarnation
+            )
+            if view is not None and not is_followed:
+                heard_at = max(heard_at, view.last_heard_at)
+            if heard_at - leave.said_at > REPORT_IN_PROGRESS_S:
+                del self._leave_by_worker[worker]
+            elif is_followed or now - heard_at >= SILENCE_S:
+                del self._leave_by_worker[worker]
+                self._gone_by_worker[worker] = (
+                    leave.incarnation,
+                    now + self._late_report_s,
+                )
+                gone.append(state_lib.WorkerKey(worker, leave.incarnation))
+        return gone
+
+    def is_gone(self, now: float, key: state_lib.WorkerKey) -> bool:
+        """Whether the incarnation or a later one has left recently."""
+        incarnation, until = self._gone_by_worker.get(key.worker, (-1, now))
+        return key.incarnation <= incarnation and now < until
 
 
 def late_orders(report: requests.WorkerReport, term: int) -> requests.Orders:
-    """Returns the answer to a report that arrives after its worker's leave.
+    """Returns the answer to a report that arrives after its worker is gone.
 
     It acknowledges nothing and grants no lease: the end of a run must not be
     acknowledged if its task has been started elsewhere. If the worker is still
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 
+import msgspec
+
 from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import decision_log
 from fulmarrouter.cluster import departures
@@ -82,7 +84,7 @@
         self._job_retention = job_retention.JobRetention(
             settings.job_retention_s
         )
-        self._departures = departures.Departures()
+        self._departures = departures.Departures(self._lease_end(0.0))
         self._expiry_due = 0.0
         self._summary_due = 0.0
         self._persist_due = 0.0
@@ -118,7 +120,7 @@
         )
         self._serving_mover = self._make_serving_mover(now)
         self._workers_with_pending_ends = set()
-        self._departures = departures.Departures()
+        self._departures = departures.Departures(self._lease_end(0.0))
         self._persist_due = now + PERSIST_EFFECTS_INTERVAL_S
         lease_end = self._lease_end(now)
         self._inherited_lease_end_by_worker = dict.fromkeys(
@@ -157,7 +159,7 @@
             doesn't come from a worker of a service.
         """
         key = state_lib.WorkerKey(report.worker, report.incarnation)
-        if self._departures.has_left(now, key):
+        if self._departures.is_gone(now, key):
             return self._on_late_report(state, report)
         known = self.fleet.view_by_id.get(report.worker)
         if known is not None and (
@@ -194,6 +196,13 @@
             )
         else:
             view = known
+        if not report.draining and self._departures.withdraw(key):
+            self._decisions.add(
+                "leave ignored",
+                worker=report.worker,
+                incarnation=report.incarnation,
+                reason="not_draining",
+            )
         view.report = report
         view.last_heard_at = now
         view.running = {item.task: item for item in report.running}
@@ -314,39 +323,74 @@
     def on_left(
         self, state: state_lib.State, request: requests.WorkerLeft
     ) -> list[log_commands.AnyCommand]:
-        """Ends the runs of a worker that has left.
+        """Takes note of a worker that says that it leaves.
+
+        Its runs are ended once it is gone. The request may arrive late; without an
+        incarnation it is taken to be from the newest one that is known.
 
-        A request that arrives late does not affect a later incarnation. One that
-        names no incarnation may not come from the worker, which is heard again
-        if it goes on reporting.
+        Returns:
+            Commands that end runs of incarnations that are certainly gone.
         """
-        ends: list[log_commands.RunEnd] = []
-        for key in list(state.runs_by_worker):
-            if key.worker == request.worker and (
-                not request.incarnation
-                or key.incarnation <= request.incarnation
-            ):
-                ends += run_ends.lost_runs(state, self.fleet, key)
         view = self.fleet.view_by_id.get(request.worker)
-        is_late = (
-            view is not None and 0 < request.incarnation < view.key.incarnation
+        incarnations = {
+            key.incarnation: len(runs)
+            for key, runs in state.runs_by_worker.items()
+            if key.worker == request.worker
+        }
+        if view is not None:
+            incarnations.setdefault(view.key.incarnation, 0)
+        key = state_lib.WorkerKey(
+            request.worker,
+            request.incarnation or max(incarnations, default=0),
         )
+        is_late = view is not None and key.incarnation < view.key.incarnation
         self._decisions.add(
             "worker left",
             worker=request.worker,
             incarnation=request.incarnation,
-            runs=len(ends),
+            runs=sum(
+                runs
+                for incarnation, runs in incarnations.items()
+                if incarnation <= key.incarnation
+            ),
             is_known=view is not None,
             is_late=is_late,
         )
-        if request.incarnation:
-            self._departures.record(
-                state_lib.WorkerKey(request.worker, request.incarnation)
+        self._departures.announce(key)
+        if view is None:
+            return []
+        if is_late:
+            return self._end_earlier_incarnations(state, view.key)
+        view.report = msgspec.structs.replace(view.report, draining=True)
+        self.fleet.mark_changed(request.worker)
+        return []
+
+    def _end_departed_runs(
+        self, now: float, state: state_lib.State
+    ) -> list[log_commands.AnyCommand]:
+        """Ends the runs of workers that have left and are gone."""
+        commands: list[log_commands.AnyCommand] = []
+        for gone in self._departures.take_gone(now, self.fleet.view_by_id):
+            ends: list[log_commands.RunEnd] = []
+            for key in list(state.runs_by_worker):
+                if (
+                    key.worker == gone.worker
+                    and key.incarnation <= gone.incarnation
+                ):
+                    self._inherited_lease_end_by_worker.pop(key, None)
+                    ends += run_ends.lost_runs(state, self.fleet, key)
+            self._decisions.add(
+                "worker gone",
+                worker=gone.worker,
+                incarnation=gone.incarnation,
+                runs=len(ends),
             )
-        if view is not None and not is_late:
-            self.interference.forget_worker(view.key)
-            self.fleet.remove(request.worker)
-        return log_commands.end_runs(ends)
+            commands += log_commands.end_runs(ends)
+            view = self.fleet.view_by_id.get(gone.worker)
+            if view is not None and view.key.incarnation <= gone.incarnation:
+                self.interference.forget_worker(view.key)
+                self.fleet.remove(gone.worker)
+        return commands
 
     # Periodic work.
 
@@ -363,7 +407,7 @@
                 del self._inherited_lease_end_by_worker[key]
                 commands += self._end_lost_runs(state, key)
         self._forget_jobs(state)
-        self._departures.update(now)
+        commands += self._end_departed_runs(now, state)
         for key in list(state.runs_by_worker):
             # These runs were committed after their worker had been removed, so
             # no worker was ever ordered to start them.
@@ -436,7 +480,7 @@
         arrived. The term is the fencing token of the orders.
         """
         worker_key = state_lib.WorkerKey(report.worker, report.incarnation)
-        if self._departures.has_left(now, worker_key):
+        if self._departures.is_gone(now, worker_key):
             return departures.late_orders(report, term)
         view = self.fleet.view_by_id.get(report.worker)
         if view is None or view.report is not report:
@@ -489,7 +533,7 @@
                     stops.append(stop)
         return requests.Orders(
             lease_ms=int(self._settings.lease_s * 1000),
-            acknowledged_end_number=view.acknowledged_end_number,
+            acknowledged_end_number=self._acknowledged_number(now, state, view),
             leader_term=term,
             starts=tuple(starts),
             stops=tuple(stops),
@@ -501,6 +545,28 @@
             ),
         )
 
+    def _acknowledged_number(
+        self, now: float, state: state_lib.State, view: fleet_lib.WorkerView
+    ) -> int:
+        """Returns the number up to which a worker's ends are acknowledged now.
+
+        An earlier leader or view may have lost runs of a worker that is gone, and
+        a late report of it may be the first one here. A worker that has been heard
+        for the time of a lease is still there, so its runs were lost with its lease.
+        """
+        if now >= self._lease_end(view.first_heard_at):
+            return view.acknowledged_end_number
+        number = run_ends.acknowledgeable_number(state, view)
+        if number < view.acknowledged_end_number and not view.has_withheld:
+            view.has_withheld = True
+            self._decisions.add(
+                "acknowledgement withheld",
+                worker=view.key.worker,
+                incarnation=view.key.incarnation,
+                number=number + 1,
+            )
+        return number
+
     def end_absent_runs(
         self, now: float, state: state_lib.State, report: requests.WorkerReport
     ) -> list[log_commands.AnyCommand]:
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -43,6 +43,7 @@
             committed.
         pending_acknowledgements: Log index and number of the last end of each
             batch of ends that is being committed.
+        has_withheld: Whether an acknowledgement has been withheld from it.
         ended: Runs that it has reported as ended and that the replicated state
             still contains.
         running: Runs that it last reported as running.
@@ -74,6 +75,7 @@
     pending_acknowledgements: list[tuple[int, int]] = dataclasses.field(
         default_factory=list
     )
+    has_withheld: bool = False
     ended: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
     running: dict[model.TaskId, requests.ActiveRun] = dataclasses.field(
         default_factory=dict
--- a/fulmarrouter/cluster/run_ends.py
+++ b/fulmarrouter/cluster/run_ends.py
@@ -73,6 +73,27 @@
     return ends
 
 
+def acknowledgeable_number(
+    state: state_lib.State, view: fleet_lib.WorkerView
+) -> int:
+    """Returns the number up to which a worker's ends may be acknowledged.
+
+    Unless the worker's lease has expired since, the success of a run must not be
+    acknowledged if the task has been started again.
+    """
+    for item in view.report.ended:
+        if item.number > view.acknowledged_end_number:
+            break
+        found = state.find_task(item.task)
+        if (
+            item.outcome is model.Outcome.DONE
+            and found is not None
+            and found[3].run > item.run
+        ):
+            return item.number - 1
+    return view.acknowledged_end_number
+
+
 def late_successes(
     state: state_lib.State,
     planned_indices: Callable[[state_lib.StepKey], Collection[int]],
