Take no run for absent while the order to start it may be in progress

A report without an assigned run ended the run at once if its worker drains or the run is no longer wanted. The report may have been sent while the answer with the order to start was on its way, so the run started, and the task elsewhere too.

The rule that a run is over must hold for orders in progress as well: a run counts as absent 2 s after the order at the earliest, as a stop does.

Tests: two of the three rows failed before.

--- a/features/leaving_workers.feature
+++ b/features/leaving_workers.feature
@@ -166,6 +166,18 @@
       | 6       | 1      |
       | 7       | 3      |
 
+  # Guards against a run that is taken for absent while the order to start it arrives.
+  Scenario Outline: A worker that was told to start a task reports <seconds> s later that it drains, without the task
+    Given a worker that was told to start a task
+    When it reports <seconds> s later that it drains and runs nothing
+    Then the phase of the task is <phase>
+
+    Examples:
+      | seconds | phase    |
+      | 0.1     | ASSIGNED |
+      | 1.0     | ASSIGNED |
+      | 2.1     | WAITING  |
+
   # Guards against a run after the last attempt has failed (KNOWN-RED.txt).
   Scenario: The failure of an earlier run is reported after that of a later one
     Given a task with 2 attempts, of which the first was lost with its worker's lease
--- a/features/steps/late_success_steps.py
+++ b/features/steps/late_success_steps.py
@@ -133,3 +133,25 @@
 @then("it has acknowledged the ends up to number {number:d}")
 def step_acknowledged_up_to(context: Any, number: int) -> None:
     assert context.answer.acknowledged_end_number == number, context.answer
+
+
+@given("a worker that was told to start a task")
+def step_told_to_start(context: Any) -> None:
+    harness = context.harness = filling_steps.DispatcherHarness()
+    for tenth in range(40):
+        harness.report(tenth / 10, leaving.WORKER, leaving.MILLICORES)
+    harness.submit("job", filling_steps.ordinary_step(1000))
+    assert harness.plan(4.0)
+    assert harness.report(4.0, leaving.WORKER, leaving.MILLICORES).starts
+
+
+@when("it reports {seconds:f} s later that it drains and runs nothing")
+def step_drains_without_task(context: Any, seconds: float) -> None:
+    harness = context.harness
+    now = 4.0 + seconds
+    harness.report(now, leaving.WORKER, leaving.MILLICORES, draining=True)
+    report = harness.dispatcher.fleet.view_by_id[leaving.WORKER].report
+    for command in harness.dispatcher.end_absent_runs(
+        now, harness.state, report
+    ):
+        harness.commit(command)
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -526,6 +526,7 @@
                 )
                 if budget.admits(start):
                     starts.append(start)
+                    view.start_sent_by_task[task_id] = (run, now)
         for item in view.running.values():
             if assigned.get(item.task) != item.run:
                 stop = requests.StopOrder(item.task, item.run)
@@ -581,7 +582,7 @@
             return []
         if now - view.first_heard_at < ABSENCE_GRACE_S:
             return []
-        return log_commands.end_runs(run_ends.absent_runs(state, view))
+        return log_commands.end_runs(run_ends.absent_runs(now, state, view))
 
     def _next_report_ms(self, view: fleet_lib.WorkerView) -> int:
         return report_timing.next_report_ms(
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -22,7 +22,7 @@
 MAX_REPORT_AGE_S = 1.2
 
 # An answer takes effect within a second or not at all, and a stop is as short.
-STOP_EFFECT_S = 2.0
+ORDER_EFFECT_S = 2.0
 
 # Share of its requested processor time that a serving task uses on average. The
 # rest is available to filling tasks.
@@ -54,6 +54,7 @@
             state has ended them, or their tasks are done.
         stop_requested: Runs that it is told to stop although their tasks are
             still to be done.
+        start_sent_by_task: Run that it was last told to start, and when.
         stop_sent_by_task: Run that it was last told to stop, and when.
         stalled: Runs that it is told to stop for as long as they make no
             progress.
@@ -104,6 +105,9 @@
     stop_requested: dict[model.TaskId, int] = dataclasses.field(
         default_factory=dict
     )
+    start_sent_by_task: dict[model.TaskId, tuple[int, float]] = (
+        dataclasses.field(default_factory=dict)
+    )
     stop_sent_by_task: dict[model.TaskId, tuple[int, float]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -125,10 +129,15 @@
         """Whether it is told to stop the run of a task that is to be done."""
         return run in (self.stop_requested.get(task), self.stalled.get(task))
 
+    def may_be_starting(self, now: float, task: model.TaskId, run: int) -> bool:
+        """Whether an order to start the run may be in progress."""
+        sent_run, sent_at = self.start_sent_by_task.get(task, (0, 0.0))
+        return sent_run == run and now - sent_at < ORDER_EFFECT_S
+
     def may_be_stopping(self, now: float, task: model.TaskId, run: int) -> bool:
         """Whether an order to stop the run is due or may be in progress."""
         sent_run, sent_at = self.stop_sent_by_task.get(task, (0, 0.0))
-        is_recent = sent_run == run and now - sent_at < STOP_EFFECT_S
+        is_recent = sent_run == run and now - sent_at < ORDER_EFFECT_S
         return is_recent or self.must_stop(task, run)
 
     def free_resources(self) -> commands.Resources:
--- a/fulmarrouter/cluster/run_ends.py
+++ b/fulmarrouter/cluster/run_ends.py
@@ -46,16 +46,19 @@
 
 
 def absent_runs(
-    state: state_lib.State, view: fleet_lib.WorkerView
+    now: float, state: state_lib.State, view: fleet_lib.WorkerView
 ) -> list[log_commands.RunEnd]:
     """Returns the ends, as lost, of assigned runs that will not be started.
 
-    Those that the worker has not reported and is not to start any more.
+    Those that the worker has not reported and is not to start any more. Its report
+    may have been sent before an order to start arrived.
     """
     ends = []
     for task_id, run in state.runs_by_worker.get(view.key, {}).items():
         if view.has_reported(task_id, run):
             continue
+        if view.may_be_starting(now, task_id, run):
+            continue
         found = state.find_task(task_id)
         if found is None:
             continue
--- a/fulmarrouter/cluster/run_monitor.py
+++ b/fulmarrouter/cluster/run_monitor.py
@@ -63,6 +63,11 @@
         The mark goes if a run makes progress before it has been stopped.
         """
         view.progress.retain(set(view.running))
+        view.start_sent_by_task = {
+            task: sent
+            for task, sent in view.start_sent_by_task.items()
+            if now - sent[1] < fleet_lib.ORDER_EFFECT_S
+        }
         view.stop_sent_by_task = {
             task: sent
             for task, sent in view.stop_sent_by_task.items()
