Have workers of the process soak leave as those of the platform do

They named their incarnation and ended before they said so, so the soak couldn't see what happens to a leave without a body or to a worker that goes on until it is answered.

--- a/features/support/soak_workers.py
+++ b/features/support/soak_workers.py
@@ -9,6 +9,10 @@
 
 from features.support import run_checks
 
+# Share of the leaving workers whose last report arrives late.
+LATE_REPORT_SHARE = 0.7
+MAX_LATE_S = 0.6
+LEAVE_ATTEMPTS = 5
 ANSWER_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 4 << 20
 HEARTBEAT_S = 1.5
@@ -26,12 +30,18 @@
 INFINITE = float("inf")
 
 
-def post(address: str, path: str, body: dict[str, Any]) -> tuple[int, bytes]:
-    """Posts JSON on a new connection; the status is 0 without an answer."""
+def post(
+    address: str, path: str, body: dict[str, Any] | None
+) -> tuple[int, bytes]:
+    """Posts JSON, or nothing, on a new connection.
+
+    The status is 0 without an answer.
+    """
     connection = http.client.HTTPConnection(address, timeout=ANSWER_TIMEOUT_S)
-    headers = {"Content-Type": "application/json"}
+    headers = {"Content-Type": "application/json"} if body is not None else {}
+    text = json.dumps(body) if body is not None else None
     try:
-        connection.request("POST", path, json.dumps(body), headers)
+        connection.request("POST", path, text, headers)
         response = connection.getresponse()
         return response.status, response.read()
     except (OSError, http.client.HTTPException):
@@ -396,12 +406,36 @@
         self._ends = [item for item in self._ends if item[0] > number]
 
     def _leave(self) -> None:
+        """Says that it leaves, without a body, and ends once that is answered.
+
+        A last report is often still on its way.
+        """
         with self._checks.lock:
-            self._checks.advance(time.monotonic())
+            now = time.monotonic()
+            self._checks.advance(now)
             self._add("worker leaves")
-            self._halt()
-        for index in range(len(self._addresses)):
-            address = self._addresses[index]
+            heartbeat = self._heartbeat(now)
+        if self._random.random() < LATE_REPORT_SHARE:
+            delay_s = self._random.uniform(0.0, MAX_LATE_S)
+            timer = threading.Timer(delay_s, self._report_late, (heartbeat,))
+            timer.daemon = True
+            timer.start()
+        for index in range(LEAVE_ATTEMPTS):
+            address = self._addresses[index % len(self._addresses)]
             path = f"/api/instances/{self.name}/leave"
-            if post(address, path, {"born": self._born})[0] == 200:
-                return
+            if post(address, path, None)[0] == 200:
+                break
+            self._report_once()
+        with self._checks.lock:
+            self._checks.advance(time.monotonic())
+            self._halt()
+
+    def _report_late(self, heartbeat: dict[str, Any]) -> None:
+        """Delivers a report that has been delayed; notes what it leads to."""
+        address = self._addresses[self._address_index % len(self._addresses)]
+        path = f"/api/instances/{self.name}/heartbeat"
+        status, answer = post(address, path, heartbeat)
+        if 200 <= status < 300:
+            with self._checks.lock:
+                orders = json.loads(answer or b"{}")
+                self._acknowledge(orders.get("ack_seq", 0))
