--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -45,6 +45,12 @@
       | an earlier run of the task has ended as done  |
       | another process has said that the worker left |
 
+  # Guards against two tasks of a step on one worker: a snapshot forgot unwanted runs.
+  Scenario: A new leader that has started from a snapshot hasn't heard of an unwanted run yet
+    Given a worker that was told to start a task of a step with a limit of 1 per worker
+    When an earlier run of the task ends as done, and a leader starts from a snapshot
+    Then no task of the step is planned for the worker until the run has stopped
+
   # Guards against a task that runs twice on a worker, and a worker beyond its capacity.
   Scenario Outline: A run that the state has ended goes on, and <what> is to be planned for its worker
     Given a worker of 16 cores that runs a task of 10 cores
--- a/features/steps/assignment_steps.py
+++ b/features/steps/assignment_steps.py
@@ -15,6 +15,7 @@
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import state as state_lib
 
 MOVED_TASK = serving_moves_steps.MOVED_TASK
 OTHER_TASK = model.TaskId("odd.0.0.1")
@@ -273,21 +274,50 @@
     context.run = 1
 
 
+def _end_earlier_run(context: Any, outcome: model.Outcome) -> None:
+    end = log_commands.RunEnd(
+        context.task, 1, model.WorkerId("earlier"), 1, outcome
+    )
+    context.harness.commit(log_commands.EndRuns((end,)))
+
+
+def _assign_second_run(context: Any) -> None:
+    """Assigns a task whose first run was lost to the worker."""
+    context.harness.commit(_assignment(0, 1, "earlier"))
+    _end_earlier_run(context, model.Outcome.LOST)
+    context.harness.commit(_assignment(0, 2, "w"))
+    context.run = 2
+
+
+@given(
+    "a worker that was told to start a task of a step with a limit of 1 per"
+    " worker"
+)
+def step_told_to_start_limited_task(context: Any) -> None:
+    step_run_of_limited_step(context)
+    _assign_second_run(context)
+    assert context.harness.report(0.1, "w", 16_000).starts
+
+
+@when(
+    "an earlier run of the task ends as done, and a leader starts from a"
+    " snapshot"
+)
+def step_leader_from_snapshot(context: Any) -> None:
+    harness = context.harness
+    _end_earlier_run(context, model.Outcome.DONE)
+    harness.state = state_lib.decode(harness.state.encode())
+    harness.dispatcher.start_term(0.2, harness.state)
+    harness.report(0.3, "w", 16_000)
+    context.assignments = harness.plan(0.4)
+
+
 @when("{event}, and the worker still reports the run")
 def step_run_unwanted(context: Any, event: str) -> None:
     harness = context.harness
     if event == "an earlier run of the task has ended as done":
-        harness.commit(_assignment(0, 1, "earlier"))
-        lost = log_commands.RunEnd(
-            context.task, 1, model.WorkerId("earlier"), 1, model.Outcome.LOST
-        )
-        harness.commit(log_commands.EndRuns((lost,)))
-        harness.commit(_assignment(0, 2, "w"))
-        context.run = 2
-        done = log_commands.RunEnd(
-            context.task, 1, model.WorkerId("earlier"), 1, model.Outcome.DONE
-        )
-        harness.commit(log_commands.EndRuns((done,)))
+        _assign_second_run(context)
+        _end_earlier_run(context, model.Outcome.DONE)
     else:
         harness.commit(_assignment(0, 1, "w"))
         harness.lose_worker("w")
@@ -302,8 +332,8 @@
     end = requests.EndedRun(
         1, context.task, context.run, model.Outcome.STOPPED, ""
     )
-    context.harness.report(0.4, "w", 16_000, (), (end,))
-    planned = context.harness.plan(0.5)
+    context.harness.report(0.5, "w", 16_000, (), (end,))
+    planned = context.harness.plan(0.6)
     assert [item.worker for item in planned] == ["w"], planned
 
 
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -119,6 +119,7 @@
     jobs: list[Job]
     effects: list[log_commands.InterferenceEffect] = []
     early_cancellations: list[model.JobId] = []
+    unwanted_runs: list[log_commands.Assignment] = []
 
 
 class Result(enum.IntEnum):
@@ -238,9 +239,20 @@
                 list(self.job_by_id.values()),
                 list(self.effect_by_images.values()),
                 self.early_cancellations.as_list(),
+                self._unwanted_runs(),
             )
         )
 
+    def _unwanted_runs(self) -> list[log_commands.Assignment]:
+        """Returns the runs that go on although their tasks are done."""
+        return [
+            log_commands.Assignment(task, run, key.worker, key.incarnation)
+            for key, runs in self.runs_by_worker.items()
+            for task, run in runs.items()
+            if (found := self.find_task(task)) is not None
+            and found[3].phase is model.TaskPhase.DONE
+        ]
+
 
 def decode(data: bytes) -> State:
     """Decodes a snapshot and rebuilds the indexes.
@@ -269,19 +281,19 @@
                 if job.is_active and step.waiting_count and _is_ready(job, key):
                     state.open_steps[key] = step
                 _index_runs(state, key, step)
+    for item in snapshot.unwanted_runs:
+        worker_key = WorkerKey(item.worker, item.incarnation)
+        state.runs_by_worker.setdefault(worker_key, {})[item.task] = item.run
     return state
 
 
 def _index_runs(state: State, key: StepKey, step: Step) -> None:
     for index, task in enumerate(step.tasks):
-        if task.phase is model.TaskPhase.ASSIGNED:
-            worker_key = WorkerKey(
-                model.WorkerId(task.worker), task.incarnation
-            )
-            task_id = model.format_task_id(
-                key.job, key.occurrence, key.step, index
-            )
-            state.runs_by_worker.setdefault(worker_key, {})[task_id] = task.run
+        if task.phase is not model.TaskPhase.ASSIGNED:
+            continue
+        worker_key = WorkerKey(model.WorkerId(task.worker), task.incarnation)
+        task_id = model.format_task_id(key.job, key.occurrence, key.step, index)
+        state.runs_by_worker.setdefault(worker_key, {})[task_id] = task.run
 
 
 _Handler = Callable[[State, int, Any], Result]
