Count the runs of a worker's incarnations in one place

lost_runs_up_to ends the runs of a newer incarnation's predecessors and of workers that are gone; on_left looks for the incarnation with it.

--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -235,14 +235,10 @@
 
         A report of a newer incarnation proves that earlier ones run nothing.
         """
-        commands: list[log_commands.AnyCommand] = []
-        for other in list(state.runs_by_worker):
-            if (
-                other.worker == key.worker
-                and other.incarnation < key.incarnation
-            ):
-                commands += self._end_lost_runs(state, other)
-        return commands
+        earlier = state_lib.WorkerKey(key.worker, key.incarnation - 1)
+        return log_commands.end_runs(
+            run_ends.lost_runs_up_to(state, self.fleet, earlier)
+        )
 
     def _end_lost_runs(
         self, state: state_lib.State, key: state_lib.WorkerKey
@@ -332,37 +328,29 @@
             Commands that end runs of incarnations that are certainly gone.
         """
         view = self.fleet.view_by_id.get(request.worker)
-        incarnations = {
-            key.incarnation: len(runs)
-            for key, runs in state.runs_by_worker.items()
-            if key.worker == request.worker
-        }
+        known = run_ends.incarnations_with_runs(state, request.worker)
         if view is not None:
-            incarnations.setdefault(view.key.incarnation, 0)
-        key = state_lib.WorkerKey(
-            request.worker,
-            request.incarnation or max(incarnations, default=0),
+            known.append(view.key)
+        incarnation = request.incarnation or max(
+            (key.incarnation for key in known), default=0
         )
-        is_late = view is not None and key.incarnation < view.key.incarnation
+        leaving = state_lib.WorkerKey(request.worker, incarnation)
+        is_late = view is not None and incarnation < view.key.incarnation
+        lost = run_ends.lost_runs_up_to(state, self.fleet, leaving)
         self._decisions.add(
             "worker left",
             worker=request.worker,
             incarnation=request.incarnation,
-            runs=sum(
-                runs
-                for incarnation, runs in incarnations.items()
-                if incarnation <= key.incarnation
-            ),
+            runs=len(lost),
             is_known=view is not None,
             is_late=is_late,
         )
-        self._departures.announce(key)
-        if view is None:
-            return []
+        self._departures.announce(leaving)
         if is_late:
-            return self._end_earlier_incarnations(state, view.key)
-        view.report = msgspec.structs.replace(view.report, draining=True)
-        self.fleet.mark_changed(request.worker)
+            return log_commands.end_runs(lost)
+        if view is not None:
+            view.report = msgspec.structs.replace(view.report, draining=True)
+            self.fleet.mark_changed(request.worker)
         return []
 
     def _end_departed_runs(
@@ -371,14 +359,11 @@
         """Ends the runs of workers that have left and are gone."""
         commands: list[log_commands.AnyCommand] = []
         for gone in self._departures.take_gone(now, self.fleet.view_by_id):
-            ends: list[log_commands.RunEnd] = []
-            for key in list(state.runs_by_worker):
-                if (
-                    key.worker == gone.worker
-                    and key.incarnation <= gone.incarnation
-                ):
-                    self._inherited_lease_end_by_worker.pop(key, None)
-                    ends += run_ends.lost_runs(state, self.fleet, key)
+            ends = run_ends.lost_runs_up_to(state, self.fleet, gone)
+            for end in ends:
+                self._inherited_lease_end_by_worker.pop(
+                    state_lib.WorkerKey(end.worker, end.incarnation), None
+                )
             self._decisions.add(
                 "worker gone",
                 worker=gone.worker,
--- a/fulmarrouter/cluster/run_ends.py
+++ b/fulmarrouter/cluster/run_ends.py
@@ -36,6 +36,24 @@
     return ends
 
 
+def lost_runs_up_to(
+    state: state_lib.State, fleet: fleet_lib.Fleet, last: state_lib.WorkerKey
+) -> list[log_commands.RunEnd]:
+    """Returns the ends, as lost, of all runs of an incarnation and earlier ones."""
+    ends = []
+    for key in incarnations_with_runs(state, last.worker):
+        if key.incarnation <= last.incarnation:
+            ends += lost_runs(state, fleet, key)
+    return ends
+
+
+def incarnations_with_runs(
+    state: state_lib.State, worker: model.WorkerId
+) -> list[state_lib.WorkerKey]:
+    """Returns the incarnations of a worker to which runs are assigned."""
+    return [key for key in state.runs_by_worker if key.worker == worker]
+
+
 def is_wanted(job: state_lib.Job, task: state_lib.Task, run: int) -> bool:
     """Whether a run is the task's current one and its job is active."""
     return (
