--- a/features/support/cluster_scenarios.py
+++ b/features/support/cluster_scenarios.py
@@ -58,10 +58,7 @@
             case 12:
                 simulation.loss = rng.choice((0.0, 0.0, 0.05, 0.15))
             case 13:
-                for host in simulation.hosts:
-                    host.cut_off = False
-                    host.isolated = False
-                    simulation.restart(host)
+                simulation.end_partitions()
         simulation.run_until(simulation.now + rng.choice((0.05, 0.2, 0.6)))
     simulation.quiesce()
     return simulation
--- a/features/support/cluster_simulation.py
+++ b/features/support/cluster_simulation.py
@@ -548,10 +548,8 @@
         """
         self.loss = 0.0
         for host in self.hosts:
-            host.cut_off = False
-            host.isolated = False
             host.frozen_until = 0.0
-            self.restart(host)
+        self.end_partitions()
         for worker in self.workers:
             worker.cut_off = False
         for worker in list(self.workers):
--- a/features/support/departure_scenarios.py
+++ b/features/support/departure_scenarios.py
@@ -29,7 +29,11 @@
 
 
 class LateReportSimulation(cluster_simulation.ClusterSimulation):
-    """Simulates workers whose reports may arrive late."""
+    """Simulates workers whose reports may arrive late.
+
+    A report sent during a partition may arrive after it, also if its worker has
+    crashed since.
+    """
 
     def __init__(self, seed: int) -> None:
         super().__init__(seed, lease_s=LEASE_S)
@@ -127,10 +131,7 @@
                 simulation.run_until(simulation.now + rng.uniform(0.0, 2.5))
                 cluster_scenarios.crash_leader(simulation)
             case 13:
-                for host in simulation.hosts:
-                    host.cut_off = False
-                    host.isolated = False
-                    simulation.restart(host)
+                simulation.end_partitions()
         simulation.run_until(simulation.now + rng.choice((0.05, 0.2, 0.6)))
     for worker in list(simulation.workers):
         simulation.kill_worker(worker)
--- a/features/support/limit_scenarios.py
+++ b/features/support/limit_scenarios.py
@@ -196,9 +196,7 @@
         simulation.loss = 0.0
         for host in simulation.hosts:
             host.sync_s = simulated_processes.SYNC_S
-            host.cut_off = False
-            host.isolated = False
-            simulation.restart(host)
+        simulation.end_partitions()
         for worker, service in zip(
             list(simulation.workers), SERVICES, strict=True
         ):
@@ -465,10 +463,7 @@
 
 @_event(2)
 def end_keeper_faults(history: LimitHistory) -> None:
-    for host in history.simulation.hosts:
-        host.cut_off = False
-        host.isolated = False
-        history.simulation.restart(host)
+    history.simulation.end_partitions()
 
 
 @_event(1)
--- a/features/support/simulated_keepers.py
+++ b/features/support/simulated_keepers.py
@@ -120,6 +120,13 @@
         if host.controller is None:
             self._start_keeper(host)
 
+    def end_partitions(self) -> None:
+        """Reconnects all hosts and starts the keepers that are down."""
+        for host in self.hosts:
+            host.cut_off = False
+            host.isolated = False
+            self.restart(host)
+
     # Network.
 
     def call_later(self, delay: float, action: Any) -> None:
