Log why a leave is ignored when its worker is still heard

A leave that was dropped because its worker went on reporting had no line. The check moves from the periodic work to the report that leads to it.

--- a/fulmarrouter/cluster/departures.py
+++ b/fulmarrouter/cluster/departures.py
@@ -63,17 +63,28 @@
         if known is None or known.incarnation < key.incarnation:
             self._leave_by_worker[key.worker] = _Leave(key.incarnation)
 
-    def withdraw(self, key: state_lib.WorkerKey) -> bool:
-        """Forgets the leave of an incarnation that has not left.
+    def on_report(
+        self, now: float, key: state_lib.WorkerKey, *, draining: bool
+    ) -> str:
+        """Forgets the leave of a worker that reports and so has not left.
 
         Returns:
-            Whether it had been said to leave.
+            Why it is forgotten; empty if none is.
         """
-        known = self._leave_by_worker.get(key.worker)
-        if known is None or known.incarnation < key.incarnation:
-            return False
-        del self._leave_by_worker[key.worker]
-        return True
+        leave = self._leave_by_worker.get(key.worker)
+        if leave is None or leave.incarnation < key.incarnation:
+            return ""
+        reason = ""
+        if not draining:
+            reason = "not_draining"
+        elif (
+            leave.said_at is not None
+            and now - leave.said_at > REPORT_IN_PROGRESS_S
+        ):
+            reason = "still_reports"
+        if reason:
+            del self._leave_by_worker[key.worker]
+        return reason
 
     def take_gone(
         self,
@@ -102,9 +113,7 @@
             )
             if view is not None and not is_followed:
                 heard_at = max(heard_at, view.last_heard_at)
-            if heard_at - leave.said_at > REPORT_IN_PROGRESS_S:
-                del self._leave_by_worker[worker]
-            elif is_followed or now - heard_at >= SILENCE_S:
+            if is_followed or now - heard_at >= SILENCE_S:
                 del self._leave_by_worker[worker]
                 self._gone_by_worker[worker] = (
                     leave.incarnation,
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -196,12 +196,15 @@
             )
         else:
             view = known
-        if not report.draining and self._departures.withdraw(key):
+        ignored_for = self._departures.on_report(
+            now, key, draining=report.draining
+        )
+        if ignored_for:
             self._decisions.add(
                 "leave ignored",
                 worker=report.worker,
                 incarnation=report.incarnation,
-                reason="not_draining",
+                reason=ignored_for,
             )
         view.report = report
         view.last_heard_at = now
