--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -43,7 +43,7 @@
     Examples:
       | event                                         |
       | an earlier run of the task has ended as done  |
-      | another process has said that the worker left |
+      | the worker was taken to be gone               |
 
   # Guards against two tasks of a step on one worker: a snapshot forgot unwanted runs.
   Scenario: A new leader that has started from a snapshot hasn't heard of an unwanted run yet
