Log what an earlier incarnation was ordered and what runs without an assignment

Cause: the log couldn't tell the hypotheses on two runs at once apart: a worker that has started again had one line, which named neither its earlier incarnation nor the orders on their way to it, and a run that a worker reports without an assignment had none.

Change: 'worker joined' tells which incarnation it follows, when that was last heard and answered, and how many starts the last answer carried. 'unassigned runs' lists runs that are reported for the first time without an assignment. 'worker lost' names the incarnation.

--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -29,6 +29,7 @@
 from fulmarrouter.cluster import run_monitor
 from fulmarrouter.cluster import serving_moves
 from fulmarrouter.cluster import state as state_lib
+from fulmarrouter.cluster import worker_log
 
 # For this long after a worker's first report to a leader, a run that is missing from
 # a report is not considered absent: the report may have been sent before the order
@@ -187,13 +188,7 @@
                 key, report, now, lease_end, first_heard_at=now
             )
             self.fleet.view_by_id[report.worker] = view
-            self._decisions.add(
-                "worker joined",
-                worker=report.worker,
-                incarnation=report.incarnation,
-                zone=report.zone,
-                runs=len(report.running),
-            )
+            worker_log.log_joined(self._decisions, now, known, view)
         else:
             view = known
         ignored_for = self._departures.on_report(
@@ -208,6 +203,7 @@
             )
         view.report = report
         view.last_heard_at = now
+        worker_log.log_unassigned_runs(self._decisions, state, view)
         view.running = {item.task: item for item in report.running}
         proposed += log_commands.end_runs(self._new_ends(now, state, view))
         self.fleet.mark_changed(report.worker)
@@ -413,6 +409,7 @@
                 self._decisions.add(
                     "worker lost",
                     worker=worker,
+                    incarnation=view.key.incarnation,
                     silent_s=round(now - view.last_heard_at, 1),
                 )
                 self.interference.forget_worker(view.key)
@@ -474,6 +471,7 @@
         if view is None or view.report is not report:
             return requests.Orders()
         view.lease_until = max(view.lease_until, self._lease_end(now))
+        view.answered_at = now
         self.fleet.refresh_usage(state, view)
         budget = order_budget.OrderBudget()
         starts: list[requests.StartOrder] = []
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -29,6 +29,8 @@
 SERVING_UTILIZATION = 0.5
 
 NO_RESOURCES = commands.Resources()
+# Time of what has not happened.
+NEVER = float("-inf")
 
 
 @dataclasses.dataclass
@@ -44,6 +46,7 @@
         pending_acknowledgements: Log index and number of the last end of each
             batch of ends that is being committed.
         has_withheld: Whether an acknowledgement has been withheld from it.
+        answered_at: When a report of it was last answered with a lease.
         ended: Runs that it has reported as ended and that the replicated state
             still contains.
         running: Runs that it last reported as running.
@@ -77,6 +80,7 @@
         default_factory=list
     )
     has_withheld: bool = False
+    answered_at: float = NEVER
     ended: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
     running: dict[model.TaskId, requests.ActiveRun] = dataclasses.field(
         default_factory=dict
@@ -129,6 +133,14 @@
         """Whether it is told to stop the run of a task that is to be done."""
         return run in (self.stop_requested.get(task), self.stalled.get(task))
 
+    def ordered_runs(self) -> dict[model.TaskId, int]:
+        """Returns the runs that it is told to start by the last answer."""
+        return {
+            task: run
+            for task, (run, sent_at) in self.start_sent_by_task.items()
+            if sent_at == self.answered_at
+        }
+
     def may_be_starting(self, now: float, task: model.TaskId, run: int) -> bool:
         """Whether an order to start the run may be in progress."""
         sent_run, sent_at = self.start_sent_by_task.get(task, (0, 0.0))
