Show by scenarios that fail how restarted workers run a task twice

Change: scenarios only. A worker that starts again takes an answer to its earlier incarnation, or is cut off when the leave of an earlier incarnation arrives; another worker must not start the task while the first run goes on.

--- /dev/null
+++ b/features/restarted_workers.feature
@@ -0,0 +1,38 @@
+Feature: A worker starts again under its id while messages of its earlier incarnation are on their way
+  An answer is valid for a second after its report was sent, and may be taken by the
+  next incarnation. A leave need not name the incarnation that sent it. The
+  scenarios guard against a task that runs twice at once.
+
+  Scenario: A worker that has started again and is cut off carries out an order to its earlier incarnation
+    Given a worker that was told to start a task and has crashed
+    When it starts again, takes the order after 0.3 s and is cut off
+    Then another worker starts the task within 7.5 s of the order, once the first run has ended
+
+  Scenario Outline: A worker that has started again <state>, and <event>
+    Given a worker that was told to start a task and has crashed
+    When it starts again, <state>, and <event>
+    Then another worker starts the task within <seconds> s of the order, once the first run has ended
+
+    Examples:
+      | state                                    | event                    | seconds |
+      | takes the order after 0.3 s              | goes on reporting        | 3.0     |
+      | takes the order after 0.3 s              | is cut off after 0.4 s   | 7.5     |
+      | takes the order after 0.3 s              | is cut off after 1.0 s   | 9.0     |
+      | takes the order after 0.3 s              | the leader changes       | 9.0     |
+      | takes the order before its first report  | goes on reporting        | 3.0     |
+      | takes the order before its first report  | is cut off after 0.1 s   | 7.5     |
+      | never takes the order                    | goes on reporting        | 3.0     |
+      | never takes the order                    | is cut off after 0.1 s   | 8.0     |
+      | never takes the order                    | the leader changes       | 9.0     |
+      | never takes the order                    | starts again after 0.2 s | 3.5     |
+      | takes the order after 0.3 s              | starts again after 0.2 s | 3.5     |
+
+  Scenario: The run of an incarnation that has reported it is started elsewhere at once
+    Given a worker that has reported the task it was told to start and has crashed
+    When it starts again, never takes the order, and goes on reporting
+    Then another worker starts the task within 1.0 s of the order, once the first run has ended
+
+  Scenario: The leave of an earlier incarnation arrives while its worker is cut off
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When it is cut off, and a leave of incarnation 1 arrives that names none
+    Then the task is not started elsewhere before the worker's lease has expired
