Take a run for over only once its order can't be carried out any more

What callers saw: two runs of a task at once, after workers had started again under their id and had been cut off.

Cause: the first report of an incarnation ended all runs of the earlier ones. It proves that they run nothing, but not that what was sent to them can take no effect. A worker that takes the answer to its earlier incarnation's last report starts the run that it orders, while the task has been assigned elsewhere; cut off soon after, it can't be told to stop it.

Change: runs that the last answer to the earlier incarnation has ordered are over once a report that the next one has sent after that answer became invalid doesn't list them, or with the lease. When it was sent, its own steady clock tells, since a report may be held back. A new leader doesn't know what was ordered, so that holds for all inherited runs of an earlier incarnation. Runs that the earlier incarnation has reported end at once, as before. Meanwhile the worker is told to start nothing, since the answer may also acknowledge ends by their numbers, which start anew.

One row's bound was 7.5 s although the lease granted at 1.1 s ends 7.3 s after the order at the latest with 0.5 s to start; it is 8.0 s.

--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -16,11 +16,13 @@
     Examples:
       | state                                    | event                    | seconds |
       | takes the order after 0.3 s              | goes on reporting        | 3.0     |
-      | takes the order after 0.3 s              | is cut off after 0.4 s   | 7.5     |
+      | takes the order after 0.3 s              | is cut off after 0.4 s   | 8.0     |
       | takes the order after 0.3 s              | is cut off after 1.0 s   | 9.0     |
       | takes the order after 0.3 s              | the leader changes       | 9.0     |
       | takes the order before its first report  | goes on reporting        | 3.0     |
       | takes the order before its first report  | is cut off after 0.1 s   | 7.5     |
+      | takes the order after 0.3 s              | its reports from then on are held back for 3 s | 10.5 |
+      | takes the order after 0.3 s              | goes on reporting without its clock | 4.0 |
       | never takes the order                    | goes on reporting        | 3.0     |
       | never takes the order                    | is cut off after 0.1 s   | 8.0     |
       | never takes the order                    | the leader changes       | 9.0     |
@@ -32,6 +34,13 @@
     When it starts again, never takes the order, and goes on reporting
     Then another worker starts the task within 1.0 s of the order, once the first run has ended
 
+  # Guards against an end that is forgotten before it is committed: an answer to the
+  # earlier incarnation acknowledges the next one's ends by their numbers.
+  Scenario: A worker that has started again gets no task while an answer to its earlier incarnation is valid
+    Given a worker that was answered at 0.2 s and has crashed
+    When it starts again at 0.5 s, and a task waits for it
+    Then it is told to start the task between 1.2 s and 1.5 s
+
   Scenario: The leave of an earlier incarnation arrives while its worker is cut off
     Given a worker that has restarted as incarnation 2 and runs a task
     When it is cut off, and a leave of incarnation 1 arrives that names none
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -89,6 +89,7 @@
         service: model.ServiceName = SERVICE,
         rack: str = "r",
         labels: tuple[str, ...] = (),
+        clock_ms: int = 0,
     ) -> requests.Orders:
         """Handles a worker's report; returns the orders that answer it."""
         self._sequence += 1
@@ -107,6 +108,7 @@
             0,
             running,
             ended,
+            clock_ms,
         )
         proposed = self.dispatcher.on_report(now, self.state, report)
         if proposed:
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -18,6 +18,7 @@
 TASK = model.format_task_id(model.JobId("job"), 0, 0, 0)
 ORDERED_AT = 0.2
 CRASHED_AT = 0.3
+BORN_AT = 0.7
 RESTARTED_AT = 0.8
 TURN_S = 0.1
 STOP_S = 0.4
@@ -32,12 +33,16 @@
     Attributes:
         taken_at: When it starts the run by an order to its earlier incarnation.
         cut_at: From when on it is cut off.
+        held_until: When its last report before that arrives.
+        has_clock: Whether its reports tell what its clock shows.
         stops_at: When its run ends by an order to stop it.
     """
 
     def __init__(self) -> None:
         self.taken_at = math.inf
         self.cut_at = math.inf
+        self.held_until = math.inf
+        self.has_clock = True
         self.incarnation = 2
         self.lease_until = ORDERED_AT + LEASE_S
         self.is_running = False
@@ -76,6 +81,7 @@
             running,
             self.ended,
             incarnation=self.incarnation,
+            clock_ms=self._clock_ms(now),
         )
         if orders.lease_ms:
             self.lease_until = max(self.lease_until, now + LEASE_S)
@@ -84,6 +90,22 @@
         if orders.acknowledged_end_number:
             self.ended = ()
 
+    def _clock_ms(self, now: float) -> int:
+        return int(1000 * (now - BORN_AT)) if self.has_clock else 0
+
+    def deliver_held_report(
+        self, now: float, harness: filling_steps.DispatcherHarness
+    ) -> None:
+        """Delivers a report that was sent just before the worker was cut off."""
+        self.held_until = math.inf
+        harness.report(
+            now,
+            WORKER,
+            0,
+            incarnation=self.incarnation,
+            clock_ms=self._clock_ms(self.cut_at - TURN_S),
+        )
+
 
 def _play(
     context: Any, worker: _RestartedWorker, changes: dict[str, float]
@@ -105,6 +127,8 @@
                 worker.restart()
         if now < worker.cut_at:
             worker.report(now, harness)
+        if now >= worker.held_until:
+            worker.deliver_held_report(now, harness)
         for command in harness.dispatcher.expire(now, harness.state):
             harness.commit(command)
         harness.plan(now)
@@ -161,6 +185,11 @@
     at = RESTARTED_AT + (float(delay[1]) if delay else 0.0)
     if event.startswith("is cut off"):
         worker.cut_at = at
+    elif event == "its reports from then on are held back for 3 s":
+        worker.cut_at = worker.taken_at
+        worker.held_until = worker.cut_at + 3.0
+    elif event == "goes on reporting without its clock":
+        worker.has_clock = False
     elif event.startswith("starts again"):
         changes["restart"] = at
     elif event == "the leader changes":
@@ -179,6 +208,30 @@
     assert context.started_at <= ORDERED_AT + seconds, context.started_at
 
 
+@given("a worker that was answered at 0.2 s and has crashed")
+def step_answered(context: Any) -> None:
+    harness = context.harness = filling_steps.DispatcherHarness()
+    assert harness.report(ORDERED_AT, WORKER, MILLICORES).lease_ms
+
+
+@when("it starts again at 0.5 s, and a task waits for it")
+def step_task_waits(context: Any) -> None:
+    harness = context.harness
+    harness.submit("job", filling_steps.ordinary_step(1000))
+    context.started_at = math.inf
+    now = 0.5
+    while now < 3.0 and context.started_at == math.inf:
+        harness.plan(now)
+        if harness.report(now, WORKER, MILLICORES, incarnation=2).starts:
+            context.started_at = now
+        now = round(now + TURN_S, 1)
+
+
+@then("it is told to start the task between {first:f} s and {last:f} s")
+def step_started_between(context: Any, first: float, last: float) -> None:
+    assert first <= context.started_at <= last, context.started_at
+
+
 @when("it is cut off, and a leave of incarnation 1 arrives that names none")
 def step_late_leave(context: Any) -> None:
     harness = context.harness
--- a/fulmarrouter/cluster/capacity_index.py
+++ b/fulmarrouter/cluster/capacity_index.py
@@ -179,7 +179,7 @@
             if indexed.version <= version:
                 return
             view = indexed.view
-            if not view.is_fresh(now) or now < view.backoff_until:
+            if not view.takes_tasks(now) or now < view.backoff_until:
                 continue
             if (
                 view.worker_health.is_on_probation(now)
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -25,6 +25,7 @@
 from fulmarrouter.cluster import report_checks
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import restarts
 from fulmarrouter.cluster import run_ends
 from fulmarrouter.cluster import run_monitor
 from fulmarrouter.cluster import serving_moves
@@ -180,13 +181,22 @@
             return None
         proposed: list[log_commands.AnyCommand] = []
         if known is None or known.key != key:
-            proposed += self._end_earlier_incarnations(state, key)
-            if known is not None:
-                self.interference.forget_worker(known.key)
             lease_end = self._inherited_lease_end_by_worker.pop(key, 0.0)
             view = fleet_lib.WorkerView(
-                key, report, now, lease_end, first_heard_at=now
+                key,
+                report,
+                now,
+                lease_end,
+                first_heard_at=now,
+                first_clock_ms=report.clock_ms,
+            )
+            proposed += log_commands.end_runs(
+                restarts.follow(
+                    state, known, view, self._inherited_lease_end_by_worker
+                )
             )
+            if known is not None:
+                self.interference.forget_worker(known.key)
             self.fleet.view_by_id[report.worker] = view
             worker_log.log_joined(self._decisions, now, known, view)
         else:
@@ -206,6 +216,7 @@
         worker_log.log_unassigned_runs(self._decisions, state, view)
         view.running = {item.task: item for item in report.running}
         proposed += log_commands.end_runs(self._new_ends(now, state, view))
+        proposed += log_commands.end_runs(restarts.decide(now, state, view))
         self.fleet.mark_changed(report.worker)
         self.interference.on_report(now, state, view)
         self._run_monitor.on_report(now, state, view, self.interference)
@@ -227,18 +238,6 @@
         )
         return log_commands.end_runs(ends)
 
-    def _end_earlier_incarnations(
-        self, state: state_lib.State, key: state_lib.WorkerKey
-    ) -> list[log_commands.AnyCommand]:
-        """Ends the runs of earlier incarnations.
-
-        A report of a newer incarnation proves that earlier ones run nothing.
-        """
-        earlier = state_lib.WorkerKey(key.worker, key.incarnation - 1)
-        return log_commands.end_runs(
-            run_ends.lost_runs_up_to(state, self.fleet, earlier)
-        )
-
     def _end_lost_runs(
         self, state: state_lib.State, key: state_lib.WorkerKey
     ) -> list[log_commands.AnyCommand]:
@@ -396,7 +395,9 @@
             # These runs were committed after their worker had been removed, so
             # no worker was ever ordered to start them.
             known = self.fleet.view_by_id.get(key.worker)
-            is_current = known is not None and known.key == key
+            is_current = known is not None and (
+                known.key == key or key in known.undecided
+            )
             if (
                 not is_current
                 and key not in self._inherited_lease_end_by_worker
@@ -503,6 +504,7 @@
             if (
                 is_wanted
                 and not view.report.draining
+                and view.may_start(now)
                 and not assignment_limits.must_wait_for_stops(
                     state, view, key, task_id
                 )
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -47,6 +47,11 @@
             batch of ends that is being committed.
         has_withheld: Whether an acknowledgement has been withheld from it.
         answered_at: When a report of it was last answered with a lease.
+        starts_after: It is told to start nothing before this time, since it may
+            still take an answer to an earlier incarnation.
+        undecided: Earlier incarnations with runs that it may have started by such
+            an answer. Its lease covers them too.
+        first_clock_ms: Its clock at its first report to this leader.
         ended: Runs that it has reported as ended and that the replicated state
             still contains.
         running: Runs that it last reported as running.
@@ -81,6 +86,9 @@
     )
     has_withheld: bool = False
     answered_at: float = NEVER
+    starts_after: float = NEVER
+    undecided: set[state_lib.WorkerKey] = dataclasses.field(default_factory=set)
+    first_clock_ms: int = 0
     ended: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
     running: dict[model.TaskId, requests.ActiveRun] = dataclasses.field(
         default_factory=dict
@@ -160,6 +168,14 @@
         """Whether its last report is recent enough for it to get new tasks."""
         return now - self.last_heard_at <= MAX_REPORT_AGE_S
 
+    def may_start(self, now: float) -> bool:
+        """Whether nothing sent to an earlier incarnation can take effect."""
+        return not self.undecided and now >= self.starts_after
+
+    def takes_tasks(self, now: float) -> bool:
+        """Whether tasks may be placed on it now."""
+        return self.is_fresh(now) and self.may_start(now)
+
 
 def claimed_resources(spec: model.StepSpec) -> commands.Resources:
     """Returns what a task claims on a worker; filling ones no processor time."""
--- a/fulmarrouter/cluster/requests.py
+++ b/fulmarrouter/cluster/requests.py
@@ -86,6 +86,7 @@
         machine: The VM that the worker runs on.
         rack: Failure domain within a zone.
         drain_time_left_ms: Minimum time until a draining worker stops.
+        clock_ms: The incarnation's steady clock at the sending; 0 if unknown.
     """
 
     worker: model.WorkerId
@@ -102,6 +103,7 @@
     drain_time_left_ms: int
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    clock_ms: int = 0
 
 
 class WorkerLeft(Request, frozen=True):
--- a/fulmarrouter/cluster/run_ends.py
+++ b/fulmarrouter/cluster/run_ends.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Mapping
 
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import log_commands
@@ -18,8 +19,23 @@
     Each keeps the last checkpoint that the worker reported for it.
     """
     view = fleet.view_by_id.get(key.worker)
+    return lost_ends(view, key, state.runs_by_worker.get(key, {}))
+
+
+def lost_ends(
+    view: fleet_lib.WorkerView | None,
+    key: state_lib.WorkerKey,
+    runs: Mapping[model.TaskId, int],
+) -> list[log_commands.RunEnd]:
+    """Returns the ends, as lost, of some runs of a worker incarnation.
+
+    Args:
+        view: The worker, for the checkpoints; of any incarnation, or None.
+        key: The incarnation.
+        runs: The number of each run by its task.
+    """
     ends = []
-    for task, run in state.runs_by_worker.get(key, {}).items():
+    for task, run in runs.items():
         checkpoint = ""
         if view is not None and view.key == key and view.is_running(task, run):
             checkpoint = view.running[task].checkpoint
@@ -39,10 +55,15 @@
 def lost_runs_up_to(
     state: state_lib.State, fleet: fleet_lib.Fleet, last: state_lib.WorkerKey
 ) -> list[log_commands.RunEnd]:
-    """Returns the ends, as lost, of all runs of an incarnation and earlier ones."""
+    """Returns the ends, as lost, of all runs of an incarnation and earlier ones.
+
+    Those that a later incarnation may still start are left out.
+    """
+    view = fleet.view_by_id.get(last.worker)
+    undecided = view.undecided if view is not None else set()
     ends = []
     for key in incarnations_with_runs(state, last.worker):
-        if key.incarnation <= last.incarnation:
+        if key.incarnation <= last.incarnation and key not in undecided:
             ends += lost_runs(state, fleet, key)
     return ends
 
--- a/fulmarrouter/cluster/serving_moves.py
+++ b/fulmarrouter/cluster/serving_moves.py
@@ -168,7 +168,7 @@
         for view in self._fleet.view_by_id.values():
             if (
                 view.report.draining
-                or not view.is_fresh(now)
+                or not view.takes_tasks(now)
                 or now < view.backoff_until
                 or view.worker_health.on_trial
                 or view.worker_health.failed_jobs
@@ -254,7 +254,7 @@
                 view is None
                 or task.phase is not model.TaskPhase.ASSIGNED
                 or view.key.incarnation != task.incarnation
-                or not view.is_fresh(now)
+                or not view.takes_tasks(now)
             ):
                 return False
             task_id = model.format_task_id(
