Run histories and the process soak with workers that restart and are cut off

Cause: no history and no soak had workers whose next incarnation takes an answer to the earlier one, nor a cut soon after a restart, with runs that outlast both.

Change: histories of workers that start again under their id and are cut off 0 to 2 s later; answers are up to 1.1 s late and taken by the next incarnation, leaves of the earlier one are up to 4 s late, leaders crash. The process soak does the same beside all its other faults, with tasks of 9 s. Four mutations bring the faults back.

--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -78,6 +78,16 @@
       | 0     | 9    |
       | 60    | 79   |
 
+  # Guards against two runs at once, of a worker that takes an answer to its earlier
+  # incarnation and one to which the task has been assigned since.
+  Scenario Outline: Workers start again under their id and are cut off, seeds <first> to <last>
+    When cluster histories <first> to <last> of workers that start again and are cut off are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 0     | 14   |
+
   Scenario Outline: The histories <kind> detect that <mechanism>
     When cluster histories <kind> are run from seed <first> on while <mechanism>
     Then at least one history violates an invariant
@@ -86,6 +96,10 @@
       | kind                                                    | first | mechanism                                               |
       | of workers that are gone when their last reports arrive | 31    | a worker that says that it leaves is gone at once       |
       | of workers that are gone when their last reports arrive | 13    | late reports of workers that are gone are acknowledged |
+      | of workers that start again and are cut off             | 0     | orders to an earlier incarnation are taken for void |
+      | of workers that start again and are cut off             | 0     | a report that was held back is taken for new |
+      | of workers that start again and are cut off             | 49    | a worker that has started again is told to start tasks at once |
+      | of workers that start again and are cut off             | 36    | a leave that names no incarnation is taken for one of the newest |
 
   Scenario Outline: The histories detect that <mechanism>
     When cluster histories are run while <mechanism>
--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -16,6 +16,7 @@
 from features.support import cluster_simulation
 from features.support import departure_scenarios
 from features.support import limit_scenarios
+from features.support import restart_scenarios
 from fulmarrouter import codes
 from fulmarrouter import consensus
 from fulmarrouter import messages
@@ -29,6 +30,7 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import reservations as reservations_lib
+from fulmarrouter.cluster import restarts
 from fulmarrouter.cluster import run_ends
 from fulmarrouter.cluster import state as state_lib
 
@@ -62,6 +64,9 @@
     "of workers that are gone when their last reports arrive": (
         departure_scenarios.run_departures
     ),
+    "of workers that start again and are cut off": (
+        restart_scenarios.run_restarts
+    ),
 }
 
 
@@ -220,6 +225,24 @@
     return False
 
 
+def _no_runs(view: fleet_lib.WorkerView) -> dict[model.TaskId, int]:
+    del view
+    return {}
+
+
+def _is_always_true(*args: Any) -> bool:
+    del args
+    return True
+
+
+def _newest_incarnation(
+    request: requests.WorkerLeft, view: fleet_lib.WorkerView | None
+) -> int:
+    """Takes a leave that names none for one of the present incarnation."""
+    present = view.key.incarnation if view is not None else 0
+    return request.incarnation or present
+
+
 def _refuse_nothing(*args: Any) -> None:
     del args
 
@@ -281,6 +304,26 @@
         "SILENCE_S",
         0.0,
     ),
+    "orders to an earlier incarnation are taken for void": (
+        fleet_lib.WorkerView,
+        "ordered_runs",
+        _no_runs,
+    ),
+    "a report that was held back is taken for new": (
+        restarts,
+        "_follows_all_answers",
+        _is_always_true,
+    ),
+    "a worker that has started again is told to start tasks at once": (
+        fleet_lib.WorkerView,
+        "may_start",
+        _is_always_true,
+    ),
+    "a leave that names no incarnation is taken for one of the newest": (
+        departures,
+        "leaving_incarnation",
+        _newest_incarnation,
+    ),
 }
 # Mechanisms that are disabled together, since each of them covers for the others.
 JOINT_MUTATIONS_BY_NAME: dict[str, tuple[tuple[Any, str, Any], ...]] = {
--- a/features/support/cluster_simulation.py
+++ b/features/support/cluster_simulation.py
@@ -57,6 +57,7 @@
     Attributes:
         failure_share: Share of the runs that fail.
         max_stop_s: Longest time that a run goes on after an order to stop it.
+        run_durations_s: Durations from which that of each run is drawn.
         accepted_jobs: Jobs whose submission was accepted.
         refused_jobs: Jobs of which each submission was refused.
         cancelling_answered_at: When a cancelling was first answered.
@@ -81,6 +82,7 @@
         ]
         self.failure_share = 0.1
         self.max_stop_s = 0.0
+        self.run_durations_s: tuple[float, ...] = (0.1, 0.4, 1.0, 2.5)
         self.accepted_jobs: set[model.JobId] = set()
         self.refused_jobs: set[model.JobId] = set()
         self.cancelled_jobs: set[model.JobId] = set()
@@ -285,6 +287,7 @@
             labels=worker.labels,
             capacity=worker.capacity,
             disowned_until=worker.disowned_until,
+            started_at=self.now,
         )
 
     def send_leave(
@@ -381,6 +384,7 @@
                 self._active_run(task, run) for task, run in worker.runs.items()
             ),
             tuple(worker.ended),
+            clock_ms=round(1000 * (self.now - worker.started_at)),
         )
 
         def on_reply(reply: requests.AnyReply) -> None:
@@ -521,7 +525,7 @@
                     raise InvariantViolationError(
                         f"{start.task} started before {name} had succeeded"
                     )
-        ends_at = self.now + self._rng.choice((0.1, 0.4, 1.0, 2.5))
+        ends_at = self.now + self._rng.choice(self.run_durations_s)
         if spec.steps[step].runs_until_cancelled:
             ends_at = math.inf
         worker.runs[start.task] = simulated_processes.Run(
--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -37,6 +37,14 @@
 MOVE_FAULT_SHARE = 0.5
 RESTART_S = 0.05
 SMALL_LIFE_S = 1.5
+# Workers that start again and are cut off soon after: the times between them, until
+# one is back, until it is cut off, and for how long.
+RECUT_INTERVAL_S = (1.5, 4.0)
+RECUT_DOWN_S = (0.05, 0.7)
+RECUT_DELAY_S = (0.1, 2.0)
+RECUT_S = (2.0, soak_workers.HOLD_MAX_S + 3.0)
+# Share of them for which a leave of the earlier life arrives late.
+LATE_LEAVE_SHARE = 0.3
 # Mean times between faults; under few of them more serving tasks are moved.
 NODE_INTERVALS_S = (1.6, 4.0, 8.0)
 WORKER_INTERVALS_S = (1.5, 4.0)
@@ -181,6 +189,7 @@
         """Begins faults of nodes and of workers; they may overlap."""
         started = time.monotonic()
         self._run_aside(self._disturb_moves)
+        self._run_aside(self._restart_and_cut_workers)
         plan: list[tuple[float, Callable[[], None]]] = []
         for begin, interval, fault in (
             (4.0, self._random.choice(NODE_INTERVALS_S), self._disturb_node),
@@ -315,6 +324,34 @@
             if life in self._lives:
                 self._restart(life, soak_workers.CAPACITY)
 
+    def _restart_and_cut_workers(self) -> None:
+        """Has workers start again under their id, and cuts them off soon after.
+
+        A worker takes the answer that its earlier life was waiting for.
+        """
+        choice = random.Random(f"recut {self._seed}")
+        while not self._are_faults_over.wait(choice.uniform(*RECUT_INTERVAL_S)):
+            with self._lives_lock:
+                life = choice.choice(self._lives)
+                is_silent = life.silent_until > time.monotonic()
+                if life.is_draining or is_silent:
+                    continue
+                life.crash()
+                self._lives.remove(life)
+                time.sleep(choice.uniform(*RECUT_DOWN_S))
+                self._add_worker(
+                    life.name, life.service, life.labels, life.capacity
+                )
+                successor = self._lives[-1]
+                life.hand_over(successor)
+            self._are_faults_over.wait(choice.uniform(*RECUT_DELAY_S))
+            silent_s = choice.uniform(*RECUT_S)
+            self._record.add("worker is cut off", worker=successor.name)
+            successor.silent_until = time.monotonic() + silent_s
+            if choice.random() < LATE_LEAVE_SHARE:
+                path = f"/api/instances/{life.name}/leave"
+                soak_workers.post(choice.choice(self._controls), path, None)
+
     def _send_late(self, name: str, heartbeat: dict[str, object]) -> None:
         """Sends a heartbeat of a worker that has crashed."""
         path = f"/api/instances/{name}/heartbeat"
--- a/features/support/simulated_processes.py
+++ b/features/support/simulated_processes.py
@@ -122,6 +122,7 @@
         next_report_at: Time of the next report, unless one is in progress.
         awaiting_reply_since: When the report in progress was sent, or None.
         target_host: Index of the host to which it reports.
+        started_at: When this incarnation started; its clock then shows 0.
     """
 
     worker: model.WorkerId
@@ -149,3 +150,4 @@
     capacity: commands.Resources = CAPACITY
     draining: bool = False
     disowned_until: float = 0.0
+    started_at: float = 0.0
--- a/features/support/soak_clients.py
+++ b/features/support/soak_clients.py
@@ -19,6 +19,9 @@
 RESUBMIT_DELAY_S = 0.2
 MAX_LASTING_JOBS = 7
 SERVING_IMAGES = 4
+# Share of the jobs whose tasks outlast restarts and partitions of their workers.
+LONG_SHARE = 0.15
+LONG_MS = 9000
 FILLING_IMAGES = 5
 
 
@@ -91,6 +94,9 @@
         step["estimated_ms"] = choice.choice([1500, 3000])
     if choice.random() < 0.3 and queue != "/d/":
         step["requirements"] = choice.choice("ab")
+    # A generator of its own, so that the jobs of a seed stay the same otherwise.
+    if random.Random(f"long {job_id}").random() < LONG_SHARE:
+        step["estimated_ms"] = LONG_MS
     steps = [step]
     if choice.random() < 0.3:
         steps.append({**step, "count": choice.randint(1, 3), "after": [0]})
--- a/features/support/soak_workers.py
+++ b/features/support/soak_workers.py
@@ -107,6 +107,7 @@
         self._ends: list[list[Any]] = []
         self._end_times: dict[int, tuple[float, int]] = {}
         self._last_end = 0
+        self._successor: Worker | None = None
         self._drained_at = INFINITE
         self._is_draining = False
         self._end_seen = threading.Event()
@@ -135,6 +136,11 @@
             self._add("worker drains")
         self._end_seen.set()
 
+    def hand_over(self, successor: "Worker") -> None:
+        """Lets the next life take the answer that this one was waiting for."""
+        with self._checks.lock:
+            self._successor = successor
+
     def join(self) -> None:
         self._thread.join()
 
@@ -347,13 +353,15 @@
         status, answer = post(address, path, heartbeat)
         with self._checks.lock:
             now = time.monotonic()
-            if self._halted.is_set():
-                return 0.0
             is_acknowledged = (
                 200 <= status < 300
                 and now - sent_at <= ANSWER_TIMEOUT_S
                 and len(answer) <= MAX_ANSWER_BYTES
             )
+            if self._halted.is_set():
+                if is_acknowledged:
+                    self._pass_on(answer, sent_at)
+                return 0.0
             if not is_acknowledged:
                 self.report_address = ""
                 return AFTER_END_S
@@ -364,6 +372,26 @@
             self._checks.advance(now)
             return self.obey(json.loads(answer or b"{}"), sent_at, now)
 
+    def _pass_on(self, answer: bytes, sent_at: float) -> None:
+        """Gives the next life an answer, at some time while it is valid."""
+        arrives_at = sent_at + self._random.uniform(0.0, ANSWER_TIMEOUT_S)
+
+        def arrive() -> None:
+            with self._checks.lock:
+                now = time.monotonic()
+                successor = self._successor
+                is_valid = now - sent_at <= ANSWER_TIMEOUT_S
+                if successor is None or successor.has_ended or not is_valid:
+                    return
+                self._checks.advance(now)
+                successor._add("answer to an earlier life", answer=answer)
+                successor.obey(json.loads(answer or b"{}"), sent_at, now)
+
+        delay_s = max(0.0, arrives_at - time.monotonic())
+        timer = threading.Timer(delay_s, arrive)
+        timer.daemon = True
+        timer.start()
+
     def obey(self, orders: dict[str, Any], sent_at: float, now: float) -> float:
         """Carries out the orders in an answer; the shared view is advanced.
 
