--- a/features/restarted_workers.feature
+++ b/features/restarted_workers.feature
@@ -41,6 +41,17 @@
     When it starts again at 0.5 s, and a task waits for it
     Then it is told to start the task between 1.2 s and 1.5 s
 
+  Scenario Outline: A heartbeat on the platform whose clock_ms is <value>
+    When a heartbeat arrives whose clock_ms is <value>
+    Then the clock of the report is <clock>
+
+    Examples:
+      | value    | clock   |
+      | 482113   | 482113  |
+      | 482113.5 | 482113  |
+      | missing  | 0       |
+      | "soon"   | refused |
+
   Scenario Outline: The leave of an earlier incarnation arrives at <leader> while its worker is cut off
     Given a worker that has restarted as incarnation 2 and runs a task
     When it is cut off, and a leave of incarnation 1 that names none arrives at <leader>
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -1,5 +1,6 @@
 """Steps on workers that start again while messages are on their way."""
 
+import json
 import math
 import re
 from typing import Any
@@ -7,8 +8,10 @@
 from behave import given
 from behave import then
 from behave import when
+from fleet_adapter import worker_format
 
 from features.steps import filling_steps
+from fulmarrouter import errors
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
 
@@ -232,6 +235,32 @@
     assert first <= context.started_at <= last, context.started_at
 
 
+@when("a heartbeat arrives whose clock_ms is {value}")
+def step_heartbeat(context: Any, value: str) -> None:
+    heartbeat: dict[str, Any] = {
+        "service": "s",
+        "address": "127.0.0.1:9",
+        "zone": "z",
+        "state": "ready",
+        "sequence": 1,
+        "born": 1796594272423,
+    }
+    if value != "missing":
+        heartbeat["clock_ms"] = json.loads(value)
+    body = json.dumps(heartbeat).encode()
+    try:
+        report = worker_format.decode_heartbeat(WORKER, body)
+    except errors.RequestError:
+        context.clock = "refused"
+    else:
+        context.clock = str(report.clock_ms)
+
+
+@then("the clock of the report is {clock}")
+def step_clock(context: Any, clock: str) -> None:
+    assert context.clock == clock, context.clock
+
+
 @when(
     "it is cut off, and a leave of incarnation 1 that names none arrives at"
     " {leader}"
--- a/fulmarrouter/cluster/restarts.py
+++ b/fulmarrouter/cluster/restarts.py
@@ -10,6 +10,7 @@
 ends that have not been committed, since each incarnation numbers its ends from 1.
 """
 
+from collections.abc import Mapping
 from collections.abc import MutableMapping
 
 from fulmarrouter.cluster import departures
@@ -44,34 +45,33 @@
     Returns:
         The ends, as lost, of the runs that are over.
     """
-    worker = view.key.worker
     if known is not None:
         view.starts_after = max(
             known.starts_after, known.answered_at + ANSWER_VALIDITY_S
         )
     ends = []
-    for key in run_ends.incarnations_with_runs(state, worker):
+    for key in run_ends.incarnations_with_runs(state, view.key.worker):
         if key.incarnation >= view.key.incarnation:
             continue
         runs = state.runs_by_worker[key]
-        undecided: dict[model.TaskId, int] = {}
-        lease_end = lease_end_by_key.pop(key, None)
+        undecided: Mapping[model.TaskId, int] = {}
+        lease_end = lease_end_by_key.pop(key, 0.0)
         if known is not None and known.key == key:
             undecided = known.ordered_runs()
             lease_end = known.lease_until
         elif known is not None and key in known.undecided:
-            undecided = dict(runs)
+            undecided = runs
             lease_end = known.lease_until
-        elif lease_end is not None:
+        elif lease_end:
             # What an earlier leader has ordered isn't known.
-            undecided = dict(runs)
+            undecided = runs
         over = {
             task: run
             for task, run in runs.items()
             if undecided.get(task) != run
         }
         ends += run_ends.lost_ends(known, key, over)
-        if len(over) < len(runs) and lease_end is not None:
+        if len(over) < len(runs):
             view.undecided.add(key)
             view.lease_until = max(view.lease_until, lease_end)
     return ends
