--- a/fulmarrouter/cluster/departures.py
+++ b/fulmarrouter/cluster/departures.py
@@ -4,8 +4,9 @@
 worker has started again, and need not name the incarnation. A worker that isn't
 answered goes on for some seconds. So a leave alone proves nothing: the worker is gone
 once it has said that it drains and leaves, and has been silent since; one that is still
-heard, or hasn't said that it drains, is gone when its lease has expired. Reports that arrive even later are not processed like others, since
-the runs may have been started elsewhere.
+heard, or hasn't said that it drains, is gone when its lease has expired. Reports that
+arrive even later are not processed like others, since the runs may have been started
+elsewhere.
 """
 
 from collections.abc import Mapping
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -3,8 +3,8 @@
 Performs no I/O: takes reports and the replicated state, and returns commands
 for the log and orders for workers. A run is committed before a worker is
 ordered to start it. An assigned run is ended only once it cannot be running any
-more: its worker lists it as ended, has restarted or has left, or its lease has
-expired.
+more, nor be started by an order on its way: its worker lists it as ended, has
+restarted or has left, or its lease has expired.
 """
 
 import dataclasses
