--- a/features/settings.feature
+++ b/features/settings.feature
@@ -22,6 +22,12 @@
       | hedegaard/entry-e1.yaml    | keepers                 | []        | keepers                 |
       | passdesk/entry-e10.yaml    | domain                  | null      | domain                  |
 
+  # Guards against a process that ends by a signal to reload, since it has no handler yet.
+  Scenario: A node is asked to reload its settings while it starts
+    Given a node that is reading its settings
+    When it is asked to reload them, and the settings that it reads are invalid
+    Then it exits since its settings are invalid
+
   Scenario: Every example is valid
     Then all settings in examples are valid
 
--- a/features/steps/settings_reload_steps.py
+++ b/features/steps/settings_reload_steps.py
@@ -1,7 +1,13 @@
 """Steps for settings files that change while a process runs."""
 
+import contextlib
+import os
 import pathlib
+import signal
+import subprocess
+import sys
 import tempfile
+import time
 from typing import Any
 
 from behave import given
@@ -9,9 +15,11 @@
 from behave import when
 import structlog.testing
 
+from fulmarrouter import codes
 from fulmarrouter import settings as settings_lib
 from fulmarrouter.cluster import settings_watcher
 
+ROOT = pathlib.Path(__file__).parents[2]
 SETTINGS = """role: node
 name: n1
 domain: z1
@@ -74,3 +82,36 @@
 def step_needs_restart(context: Any, setting: str) -> None:
     (line,) = context.lines
     assert line["needs_restart"] == setting, line
+
+
+@given("a node that is reading its settings")
+def step_reading_node(context: Any) -> None:
+    path = context.folder / "settings.yaml"
+    os.mkfifo(path)
+    context.node = subprocess.Popen(
+        [sys.executable, str(ROOT / "platform" / "start.py")],
+        env={**os.environ, "FULMARROUTER_CONFIG": str(path)},
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+    )
+    context.add_cleanup(context.node.wait)
+    context.add_cleanup(context.node.kill)
+    # Returns once the node has opened the file.
+    context.settings_file = path.open("w", encoding="utf-8")
+
+
+@when("it is asked to reload them, and the settings that it reads are invalid")
+def step_reload_while_starting(context: Any) -> None:
+    context.node.send_signal(signal.SIGHUP)
+    time.sleep(0.1)
+    with contextlib.suppress(BrokenPipeError):
+        context.settings_file.write("role: worker")
+        context.settings_file.flush()
+    with contextlib.suppress(BrokenPipeError):
+        context.settings_file.close()
+
+
+@then("it exits since its settings are invalid")
+def step_exited(context: Any) -> None:
+    exit_code = context.node.wait(timeout=20)
+    assert exit_code == codes.ExitCode.SETTINGS_INVALID, exit_code
