Begin and end the histories of late reports in one place

Change: the histories of restarts and of departures shared their first and last lines; LateReportSimulation has them as start and recover. A method is named after what it returns, and a comment of restarts says what is withheld: starts, not plans.

--- a/features/support/departure_scenarios.py
+++ b/features/support/departure_scenarios.py
@@ -60,6 +60,20 @@
         else:
             super()._transmit_report(worker, report, on_reply)
 
+    def start(self) -> None:
+        """Lets the keepers form a quorum and gives them a configuration."""
+        self.run_until(6.0)
+        self.replace_configuration(1)
+        self.run_until(6.5)
+
+    def recover(self, seconds: float) -> None:
+        """Restarts all workers, ends all faults and checks the recovery."""
+        for worker in list(self.workers):
+            self.kill_worker(worker)
+            self.revive_worker(worker)
+            self.end_partition(worker.worker)
+        self.quiesce(seconds)
+
     def end_partition(self, name: str) -> None:
         """Reconnects a worker; what the partition has held back arrives."""
         for worker in self.workers:
@@ -101,9 +115,7 @@
         InvariantViolationError: An invariant does not hold.
     """
     simulation = LateReportSimulation(seed)
-    simulation.run_until(6.0)
-    simulation.replace_configuration(1)
-    simulation.run_until(6.5)
+    simulation.start()
     # Independent of the simulation's generator.
     rng = random.Random(seed * 7919 + 8)
     for _ in range(steps):
@@ -133,9 +145,5 @@
             case 13:
                 simulation.end_partitions()
         simulation.run_until(simulation.now + rng.choice((0.05, 0.2, 0.6)))
-    for worker in list(simulation.workers):
-        simulation.kill_worker(worker)
-        simulation.revive_worker(worker)
-        simulation.end_partition(worker.worker)
-    simulation.quiesce(EXTRA_TIME_S)
+    simulation.recover(EXTRA_TIME_S)
     return simulation
--- a/features/support/restart_scenarios.py
+++ b/features/support/restart_scenarios.py
@@ -42,7 +42,7 @@
         sent_at = self.now
 
         def arrive(reply: requests.AnyReply) -> None:
-            successor = self.worker_by_name(worker)
+            successor = self.newest_incarnation(worker)
             if successor is worker or not isinstance(reply, requests.Orders):
                 on_reply(reply)
                 return
@@ -58,7 +58,7 @@
 
         super()._transmit_report(worker, report, on_late_reply)
 
-    def worker_by_name(
+    def newest_incarnation(
         self, worker: simulated_processes.Worker
     ) -> simulated_processes.Worker:
         """Returns the newest incarnation of a worker."""
@@ -68,7 +68,7 @@
 
     def cut_off(self, worker: simulated_processes.Worker) -> None:
         """Cuts off the newest incarnation of a worker."""
-        self.worker_by_name(worker).cut_off = True
+        self.newest_incarnation(worker).cut_off = True
 
     def restart_and_cut(
         self, worker: simulated_processes.Worker, rng: random.Random
@@ -97,9 +97,7 @@
         InvariantViolationError: An invariant does not hold.
     """
     simulation = RestartSimulation(seed)
-    simulation.run_until(6.0)
-    simulation.replace_configuration(1)
-    simulation.run_until(6.5)
+    simulation.start()
     # Independent of the simulation's generator.
     rng = random.Random(seed * 7919 + 9)
     for _ in range(steps):
@@ -112,7 +110,9 @@
             case 9:
                 worker.draining = True
                 simulation.send_leave(
-                    worker, rng.uniform(0.0, MAX_LATE_LEAVE_S), False
+                    worker,
+                    rng.uniform(0.0, MAX_LATE_LEAVE_S),
+                    names_incarnation=False,
                 )
                 simulation.restart_and_cut(worker, rng)
             case 10:
@@ -122,9 +122,5 @@
         simulation.run_until(simulation.now + rng.choice((0.1, 0.4, 1.5)))
     simulation.run_until(simulation.now + 1.0)
     simulation.run_durations_s = (0.1, 0.4)
-    for worker in list(simulation.workers):
-        simulation.kill_worker(worker)
-        simulation.revive_worker(worker)
-        simulation.end_partition(worker.worker)
-    simulation.quiesce(EXTRA_TIME_S)
+    simulation.recover(EXTRA_TIME_S)
     return simulation
--- a/fulmarrouter/cluster/restarts.py
+++ b/fulmarrouter/cluster/restarts.py
@@ -6,8 +6,9 @@
 run that the last answer has ordered is over only once a report that was sent after the
 answer has become invalid doesn't list it, or once the lease has expired.
 
-For that time the next incarnation gets no tasks: such an answer may also acknowledge
-ends that have not been committed, since each incarnation numbers its ends from 1.
+For that time the next incarnation is told to start nothing: such an answer may also
+acknowledge ends that have not been committed, since each incarnation numbers its ends
+from 1.
 """
 
 from collections.abc import Mapping
