--- a/features/support/departure_scenarios.py
+++ b/features/support/departure_scenarios.py
@@ -65,6 +65,9 @@
         self.run_until(6.0)
         self.replace_configuration(1)
         self.run_until(6.5)
+        while not self.acknowledged_version:
+            self.replace_configuration(1)
+            self.run_until(self.now + 0.5)
 
     def recover(self, seconds: float) -> None:
         """Restarts all workers, ends all faults and checks the recovery."""
