--- a/review/support2/standins.py
+++ b/review/support2/standins.py
@@ -314,6 +314,7 @@
         self.is_draining = False
         self.is_up = True
         self.before_leave: Callable[[], None] = lambda: None
+        self.before_heartbeat: Callable[[], None] = lambda: None
         self.after_heartbeat_sent: Callable[[], None] = lambda: None
         self.born = int(time.time() * 1000)
         self._fleet = fleet
@@ -460,6 +461,8 @@
             self._connected_to = target
         path = f"/api/instances/{self.name}/{action}"
         headers = {"Content-Type": "application/json"}
+        if action == "heartbeat":
+            self.before_heartbeat()
         try:
             self._connection.request(
                 "POST", path, json.dumps(body).encode(), headers
