Log for how long a worker that leaves was silent, and which runs are absent

Change: `worker gone` has `silent_ms` and `lease_left_ms`; `runs absent` lists the runs, whether the worker drains, and for how long this leader has heard it.

--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -148,6 +148,19 @@
             + fleet_lib.LEASE_MARGIN_S
         )
 
+    def _lease_end_of(self, worker: model.WorkerId) -> float:
+        """Returns when all leases of a worker have ended, 0 if it has none."""
+        view = self.fleet.view_by_id.get(worker)
+        inherited = (
+            lease_end
+            for key, lease_end in self._inherited_lease_end_by_worker.items()
+            if key.worker == worker
+        )
+        return max(
+            view.lease_until if view is not None else 0.0,
+            max(inherited, default=0.0),
+        )
+
     # Reports.
 
     def on_report(
@@ -354,18 +367,21 @@
         commands: list[log_commands.AnyCommand] = []
         for gone in self._departures.take_gone(now, self.fleet.view_by_id):
             ends = run_ends.lost_runs_up_to(state, self.fleet, gone)
+            lease_end = self._lease_end_of(gone.worker)
             for end in ends:
                 self._inherited_lease_end_by_worker.pop(
                     state_lib.WorkerKey(end.worker, end.incarnation), None
                 )
-            self._decisions.add(
-                "worker gone",
-                worker=gone.worker,
-                incarnation=gone.incarnation,
-                runs=len(ends),
+            view = self.fleet.view_by_id.get(gone.worker)
+            worker_log.log_gone(
+                self._decisions,
+                now,
+                gone,
+                view,
+                lease_end,
+                len(ends),
             )
             commands += log_commands.end_runs(ends)
-            view = self.fleet.view_by_id.get(gone.worker)
             if view is not None and view.key.incarnation <= gone.incarnation:
                 self.interference.forget_worker(view.key)
                 self.fleet.remove(gone.worker)
@@ -566,7 +582,9 @@
             return []
         if now - view.first_heard_at < ABSENCE_GRACE_S:
             return []
-        return log_commands.end_runs(run_ends.absent_runs(now, state, view))
+        ends = run_ends.absent_runs(now, state, view)
+        worker_log.log_absent_runs(self._decisions, now, view, ends)
+        return log_commands.end_runs(ends)
 
     def _next_report_ms(self, view: fleet_lib.WorkerView) -> int:
         return report_timing.next_report_ms(
--- a/fulmarrouter/cluster/worker_log.py
+++ b/fulmarrouter/cluster/worker_log.py
@@ -1,7 +1,10 @@
-"""Log lines that tell what a worker may run that it isn't assigned."""
+"""Log lines on what workers run, and on why their runs are taken for over."""
+
+from collections.abc import Sequence
 
 from fulmarrouter.cluster import decision_log
 from fulmarrouter.cluster import fleet as fleet_lib
+from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import state as state_lib
 
 # Limit on the runs in one line.
@@ -74,3 +77,63 @@
             tasks=" ".join(texts[:MAX_RUNS_PER_LINE]),
             not_listed=max(0, len(texts) - MAX_RUNS_PER_LINE),
         )
+
+
+def log_gone(
+    decisions: decision_log.DecisionBuffer,
+    now: float,
+    gone: state_lib.WorkerKey,
+    view: fleet_lib.WorkerView | None,
+    lease_end: float,
+    runs: int,
+) -> None:
+    """Logs that a worker has left, for how long it was silent, and its lease.
+
+    Args:
+        decisions: Receives the line.
+        now: Monotonic time.
+        gone: The incarnation that has left.
+        view: The worker as it reports to the leader, None if it doesn't.
+        lease_end: When its lease has ended.
+        runs: How many runs end with it.
+    """
+    silence: dict[str, object] = {}
+    if view is not None:
+        silence["silent_ms"] = round(1000 * (now - view.last_heard_at))
+    decisions.add(
+        "worker gone",
+        worker=gone.worker,
+        incarnation=gone.incarnation,
+        runs=runs,
+        lease_left_ms=max(0, round(1000 * (lease_end - now))),
+        **silence,
+    )
+
+
+def log_absent_runs(
+    decisions: decision_log.DecisionBuffer,
+    now: float,
+    view: fleet_lib.WorkerView,
+    ends: Sequence[log_commands.RunEnd],
+) -> None:
+    """Logs runs that are taken for over since a report doesn't list them.
+
+    Args:
+        decisions: Receives the line.
+        now: Monotonic time.
+        view: The worker that has reported.
+        ends: The ends of the runs.
+    """
+    if not ends:
+        return
+    decisions.add(
+        "runs absent",
+        worker=view.key.worker,
+        incarnation=view.key.incarnation,
+        draining=view.report.draining,
+        heard_ms=round(1000 * (now - view.first_heard_at)),
+        tasks=" ".join(
+            f"{end.task}/{end.run}" for end in ends[:MAX_RUNS_PER_LINE]
+        ),
+        not_listed=max(0, len(ends) - MAX_RUNS_PER_LINE),
+    )
