Keep the leases of workers in a module of their own

No change of behaviour. A leader's own leases and the inherited ones are asked for in one place, which the next fix needs. The mutation "leases are ended early" replaces the same calculation in its new place.

--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -23,7 +23,6 @@
 from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import controller
 from fulmarrouter.cluster import departures
-from fulmarrouter.cluster import dispatcher
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import job_requests
 from fulmarrouter.cluster import membership
@@ -33,6 +32,7 @@
 from fulmarrouter.cluster import restarts
 from fulmarrouter.cluster import run_ends
 from fulmarrouter.cluster import state as state_lib
+from fulmarrouter.cluster import worker_leases
 
 # Histories with a mutation are run until one violates an invariant, at most
 # with this many seeds.
@@ -111,7 +111,7 @@
     assert not context.failing_seeds, context.failing_seeds
 
 
-def _early_lease_end(self: dispatcher.Dispatcher, now: float) -> float:
+def _early_lease_end(self: worker_leases.WorkerLeases, now: float) -> float:
     del self
     return now + 0.2
 
@@ -250,8 +250,8 @@
 # Each mutation's target, the attribute that it replaces, and the replacement.
 MUTATION_BY_NAME: dict[str, tuple[Any, str, Any]] = {
     "leases are ended early": (
-        dispatcher.Dispatcher,
-        "_lease_end",
+        worker_leases.WorkerLeases,
+        "granted_end",
         _early_lease_end,
     ),
     "leadership is not confirmed": (
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -30,6 +30,7 @@
 from fulmarrouter.cluster import run_monitor
 from fulmarrouter.cluster import serving_moves
 from fulmarrouter.cluster import state as state_lib
+from fulmarrouter.cluster import worker_leases
 from fulmarrouter.cluster import worker_log
 
 # For this long after a worker's first report to a leader, a run that is missing from
@@ -86,16 +87,12 @@
         self._job_retention = job_retention.JobRetention(
             settings.job_retention_s
         )
-        self._departures = departures.Departures(self._lease_end(0.0))
+        self._leases = worker_leases.WorkerLeases(settings.lease_s)
+        self._departures = departures.Departures(self._leases.granted_end(0.0))
         self._expiry_due = 0.0
         self._summary_due = 0.0
         self._persist_due = 0.0
         self._run_monitor = run_monitor.RunMonitor(self._decisions)
-        # When the leases that earlier leaders granted have ended, for workers
-        # that have not reported to this leader.
-        self._inherited_lease_end_by_worker: dict[
-            state_lib.WorkerKey, float
-        ] = {}
         # Workers with reported ends that may not have been applied yet.
         self._workers_with_pending_ends: set[model.WorkerId] = set()
 
@@ -122,12 +119,11 @@
         )
         self._serving_mover = self._make_serving_mover(now)
         self._workers_with_pending_ends = set()
-        self._departures = departures.Departures(self._lease_end(0.0))
-        self._persist_due = now + PERSIST_EFFECTS_INTERVAL_S
-        lease_end = self._lease_end(now)
-        self._inherited_lease_end_by_worker = dict.fromkeys(
-            state.runs_by_worker, lease_end
+        self._leases = worker_leases.WorkerLeases(
+            self._settings.lease_s, now, state.runs_by_worker
         )
+        self._departures = departures.Departures(self._leases.granted_end(0.0))
+        self._persist_due = now + PERSIST_EFFECTS_INTERVAL_S
 
     def _make_serving_mover(
         self, started_at: float
@@ -140,27 +136,6 @@
             started_at,
         )
 
-    def _lease_end(self, now: float) -> float:
-        """Returns when leases granted by now have ended on any worker clock."""
-        return (
-            now
-            + self._settings.lease_s * fleet_lib.CLOCK_DRIFT_FACTOR
-            + fleet_lib.LEASE_MARGIN_S
-        )
-
-    def _lease_end_of(self, worker: model.WorkerId) -> float:
-        """Returns when all leases of a worker have ended, 0 if it has none."""
-        view = self.fleet.view_by_id.get(worker)
-        inherited = (
-            lease_end
-            for key, lease_end in self._inherited_lease_end_by_worker.items()
-            if key.worker == worker
-        )
-        return max(
-            view.lease_until if view is not None else 0.0,
-            max(inherited, default=0.0),
-        )
-
     # Reports.
 
     def on_report(
@@ -194,7 +169,7 @@
             return None
         proposed: list[log_commands.AnyCommand] = []
         if known is None or known.key != key:
-            lease_end = self._inherited_lease_end_by_worker.pop(key, 0.0)
+            lease_end = self._leases.inherited_end_by_key.pop(key, 0.0)
             view = fleet_lib.WorkerView(
                 key,
                 report,
@@ -205,7 +180,7 @@
             )
             proposed += log_commands.end_runs(
                 restarts.follow(
-                    state, known, view, self._inherited_lease_end_by_worker
+                    state, known, view, self._leases.inherited_end_by_key
                 )
             )
             if known is not None:
@@ -367,12 +342,12 @@
         commands: list[log_commands.AnyCommand] = []
         for gone in self._departures.take_gone(now, self.fleet.view_by_id):
             ends = run_ends.lost_runs_up_to(state, self.fleet, gone)
-            lease_end = self._lease_end_of(gone.worker)
+            view = self.fleet.view_by_id.get(gone.worker)
+            lease_end = self._leases.end_of(gone.worker, view)
             for end in ends:
-                self._inherited_lease_end_by_worker.pop(
+                self._leases.inherited_end_by_key.pop(
                     state_lib.WorkerKey(end.worker, end.incarnation), None
                 )
-            view = self.fleet.view_by_id.get(gone.worker)
             worker_log.log_gone(
                 self._decisions,
                 now,
@@ -397,10 +372,8 @@
             return []
         self._expiry_due = now + EXPIRY_CHECK_INTERVAL_S
         commands: list[log_commands.AnyCommand] = []
-        for key, lease_end in list(self._inherited_lease_end_by_worker.items()):
-            if now >= lease_end:
-                del self._inherited_lease_end_by_worker[key]
-                commands += self._end_lost_runs(state, key)
+        for key in self._leases.take_inherited_expired(now):
+            commands += self._end_lost_runs(state, key)
         self._forget_jobs(state)
         commands += self._end_departed_runs(now, state)
         for key in list(state.runs_by_worker):
@@ -410,10 +383,7 @@
             is_current = known is not None and (
                 known.key == key or key in known.undecided
             )
-            if (
-                not is_current
-                and key not in self._inherited_lease_end_by_worker
-            ):
+            if not is_current and key not in self._leases.inherited_end_by_key:
                 commands += self._end_lost_runs(state, key)
         for worker, view in list(self.fleet.view_by_id.items()):
             is_silent = now - view.last_heard_at > fleet_lib.MAX_REPORT_AGE_S
@@ -483,7 +453,7 @@
         view = self.fleet.view_by_id.get(report.worker)
         if view is None or view.report is not report:
             return requests.Orders()
-        view.lease_until = max(view.lease_until, self._lease_end(now))
+        view.lease_until = max(view.lease_until, self._leases.granted_end(now))
         view.answered_at = now
         self.fleet.refresh_usage(state, view)
         budget = order_budget.OrderBudget()
@@ -555,7 +525,7 @@
         a late report of it may be the first one here. A worker that has been heard
         for the time of a lease is still there, so its runs were lost with its lease.
         """
-        if now >= self._lease_end(view.first_heard_at):
+        if now >= self._leases.granted_end(view.first_heard_at):
             return view.acknowledged_end_number
         number = run_ends.acknowledgeable_number(state, view)
         if number < view.acknowledged_end_number and not view.has_withheld:
