End the runs of a worker that leaves with its lease, not after 2 s of silence

Cause: `departures` took 2.2 s without a report after a leave as proof that the worker had exited, whatever its lease. A worker that isn't answered goes on, and usually isn't heard either. A leader elected before the leave arrived did the same with an inherited lease.

Change: the runs of a worker that leaves are over when it lists their ends or when its lease, own or inherited, has ended. Only a worker without runs is gone after 2.2 s of silence.

Why it works: a lease is counted from the sending of a report by the worker, from the answer by the leader, with the slowest clock and a margin, and a new leader counts a whole one. Nothing runs beyond it, heard or not.

Tests replaced, as strict: rows that wanted runs to end 2.1 s after a leave asked for the fault; they want it with the lease now, and new rows want that nothing ends before.

--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -78,6 +78,15 @@
       | 0     | 9    |
       | 60    | 79   |
 
+  # Guards against two runs at once, of a worker that leaves, isn't answered and goes on.
+  Scenario Outline: Workers leave, are cut off and go on, seeds <first> to <last>
+    When cluster histories <first> to <last> of workers that leave, are cut off and go on are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 0     | 29   |
+
   # Guards against two runs at once, of a worker that takes an answer to its earlier
   # incarnation and one to which the task has been assigned since.
   Scenario Outline: Workers start again under their id and are cut off, seeds <first> to <last>
@@ -94,8 +103,9 @@
 
     Examples:
       | kind                                                    | first | mechanism                                               |
-      | of workers that are gone when their last reports arrive | 31    | a worker that says that it leaves is gone at once       |
-      | of workers that are gone when their last reports arrive | 13    | late reports of workers that are gone are acknowledged |
+      | of workers that are gone when their last reports arrive | 45    | a worker that says that it leaves is gone at once       |
+      | of workers that are gone when their last reports arrive | 49    | late reports of workers that are gone are acknowledged |
+      | of workers that leave, are cut off and go on            | 2     | a worker that leaves and is silent is gone while its lease runs |
       | of workers that start again and are cut off             | 0     | orders to an earlier incarnation are taken for void |
       | of workers that start again and are cut off             | 0     | a report that was held back is taken for new |
       | of workers that start again and are cut off             | 49    | a worker that has started again is told to start tasks at once |
--- a/features/leaving_workers.feature
+++ b/features/leaving_workers.feature
@@ -4,19 +4,63 @@
 
   Scenario Outline: A worker restarts as incarnation 2 and runs a task, and incarnation <left> is said to have left
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation <left> is said to have left, and it is silent for 2.1 s
+    When incarnation <left> is said to have left, and its lease expires
     Then the phase of the task is <phase>
 
     Examples:
       | left | phase    |
-      | 1    | ASSIGNED |
       | 2    | WAITING  |
       | 3    | WAITING  |
       | 0    | WAITING  |
 
+  # Guards against a task that runs twice, because its worker isn't answered when it
+  # leaves and goes on.
+  Scenario Outline: Incarnation <left> is said to have left, and it is silent for <seconds> s while its lease runs
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When incarnation <left> is said to have left, and it is silent for <seconds> s
+    Then the phase of the task is ASSIGNED
+
+    Examples:
+      | left | seconds |
+      | 1    | 2.1     |
+      | 1    | 6.0     |
+      | 2    | 2.1     |
+      | 2    | 6.0     |
+      | 3    | 2.1     |
+      | 3    | 6.0     |
+      | 0    | 2.1     |
+      | 0    | 6.0     |
+
+  # Guards against the same at a leader that doesn't know the worker or its leave.
+  Scenario Outline: A leader elected <elected> s after the lease was granted <event>, and the worker is silent for <seconds> s
+    Given a worker that has restarted as incarnation 2 and runs a task
+    When a leader elected <elected> s after its lease <event>, and it is silent for <seconds> s
+    Then another worker has been told to start <count> tasks
+
+    Examples:
+      | elected | event                               | seconds | count |
+      | 0.1     | hears that incarnation 2 has left   | 6.2     | 0     |
+      | 0.1     | hears that incarnation 2 has left   | 7.2     | 1     |
+      | 2.0     | hears that incarnation 2 has left   | 6.2     | 0     |
+      | 2.0     | hears that incarnation 2 has left   | 7.2     | 1     |
+      | 2.0     | follows one that heard of its leave | 6.2     | 0     |
+      | 2.0     | follows one that heard of its leave | 7.2     | 1     |
+
+  Scenario Outline: A worker without runs leaves, naming <left>, and is silent for <seconds> s
+    Given a worker that has restarted as incarnation 2 and runs nothing
+    When it leaves, naming incarnation <left>, and is silent for <seconds> s
+    Then the leader <state> the worker
+
+    Examples:
+      | left | seconds | state           |
+      | 2    | 1.8     | knows           |
+      | 2    | 2.4     | doesn't know    |
+      | 0    | 1.8     | knows           |
+      | 0    | 2.4     | doesn't know    |
+
   Scenario Outline: The leader's log shows that incarnation <left> has left
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation <left> is said to have left, and it is silent for 2.1 s
+    When incarnation <left> is said to have left, and its lease expires
     Then a line says that it has left with <runs> runs, known <known>, late <late>
 
     Examples:
@@ -27,8 +71,8 @@
 
   Scenario: The leader's log shows that a worker that has left says so again
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation 2 is said to have left, and it is silent for 2.1 s
-    And incarnation 2 is said to have left, and it is silent for 2.1 s
+    When incarnation 2 is said to have left, and its lease expires
+    And incarnation 2 is said to have left, and its lease expires
     Then a line says that it has left with 0 runs, known False, late False
 
   # Guards against a task that runs twice, because a report of another writer is taken
@@ -77,7 +121,7 @@
 
   Scenario Outline: A report of incarnation <born> arrives <seconds> s after incarnation <left> is gone
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation <left> is said to have left, and it is silent for 2.1 s
+    When incarnation <left> is said to have left, and its lease expires
     And incarnation <born> says <seconds> s later that the task is done
     Then its report is <answer>
 
@@ -92,14 +136,14 @@
 
   Scenario: A worker that is still there after its leave is told to stop what it runs
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation 2 is said to have left, and it is silent for 2.1 s
+    When incarnation 2 is said to have left, and its lease expires
     And incarnation 2 says 1 s later that the task runs
     Then it is told to stop the task, with the fencing token of the leader
 
   # Guards against the end of a later run that is forgotten before it is committed.
   Scenario: The success of a task arrives after its worker has left and has restarted
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation 2 is said to have left, and it is silent for 2.1 s
+    When incarnation 2 is said to have left, and its lease expires
     And it restarts as incarnation 3 before the report that the task is done arrives
     Then the phase of the task is DONE
     And no end of incarnation 3 is acknowledged
@@ -107,7 +151,7 @@
   # Guards against tasks that wait for a worker that is gone.
   Scenario: No task is assigned to a worker whose report arrives after its leave
     Given a worker that has restarted as incarnation 2 and runs a task
-    When incarnation 2 is said to have left, and it is silent for 2.1 s
+    When incarnation 2 is said to have left, and its lease expires
     And incarnation 2 says 1 s later that the task is done
     Then a task that waits is assigned to no worker
 
@@ -122,9 +166,13 @@
     Examples:
       | left | seconds | answer           | count |
       | 0    | 1.6     | acknowledged     | 0     |
-      | 0    | 3.0     | not acknowledged | 1     |
+      | 0    | 3.0     | acknowledged     | 0     |
+      | 0    | 6.0     | acknowledged     | 0     |
+      | 0    | 7.2     | not acknowledged | 1     |
       | 2    | 1.6     | acknowledged     | 0     |
-      | 2    | 3.0     | not acknowledged | 1     |
+      | 2    | 3.0     | acknowledged     | 0     |
+      | 2    | 6.0     | acknowledged     | 0     |
+      | 2    | 7.2     | not acknowledged | 1     |
 
   # Guards against a task that runs twice, because its worker has not left yet.
   Scenario Outline: A worker leaves, naming <left>, and still reports <state> for <seconds> s
--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -64,6 +64,9 @@
     "of workers that are gone when their last reports arrive": (
         departure_scenarios.run_departures
     ),
+    "of workers that leave, are cut off and go on": (
+        departure_scenarios.run_unheard_leaves
+    ),
     "of workers that start again and are cut off": (
         restart_scenarios.run_restarts
     ),
@@ -116,6 +119,13 @@
     return now + 0.2
 
 
+def _has_ended(
+    self: worker_leases.WorkerLeases, worker: model.WorkerId, view: Any
+) -> float:
+    del self, worker, view
+    return 0.0
+
+
 def _always_confirmed(self: consensus.Replica, read_round: int) -> bool:
     del self, read_round
     return True
@@ -299,10 +309,10 @@
         "refresh_usage",
         _ignore_unwanted_runs,
     ),
-    "a worker that says that it leaves is gone at once": (
-        departures,
-        "SILENCE_S",
-        0.0,
+    "a worker that leaves and is silent is gone while its lease runs": (
+        worker_leases.WorkerLeases,
+        "end_of",
+        _has_ended,
     ),
     "orders to an earlier incarnation are taken for void": (
         fleet_lib.WorkerView,
@@ -319,15 +329,19 @@
         "may_start",
         _is_always_true,
     ),
-    "a leave that names no incarnation is taken for one of the newest": (
-        departures,
-        "leaving_incarnation",
-        _newest_incarnation,
-    ),
 }
 # Mechanisms that are disabled together, since each of them covers for the others.
 JOINT_MUTATIONS_BY_NAME: dict[str, tuple[tuple[Any, str, Any], ...]] = {
+    "a worker that says that it leaves is gone at once": (
+        (departures, "SILENCE_S", 0.0),
+        (worker_leases.WorkerLeases, "end_of", _has_ended),
+    ),
+    "a leave that names no incarnation is taken for one of the newest": (
+        (departures, "leaving_incarnation", _newest_incarnation),
+        (worker_leases.WorkerLeases, "end_of", _has_ended),
+    ),
     "late reports of workers that are gone are acknowledged": (
+        (worker_leases.WorkerLeases, "end_of", _has_ended),
         (departures, "SILENCE_S", 0.0),
         (departures.Departures, "is_gone", _is_never_gone),
         (run_ends, "acknowledgeable_number", _acknowledge_all),
--- a/features/steps/late_success_steps.py
+++ b/features/steps/late_success_steps.py
@@ -45,15 +45,19 @@
         context.started |= {item.task for item in orders.starts}
 
 
-def _leave(context: Any, left: int, *, is_draining: bool) -> None:
+def _say_left(harness: filling_steps.DispatcherHarness, left: int) -> None:
     request = requests.WorkerLeft(model.WorkerId(leaving.WORKER), left)
+    for command in harness.dispatcher.on_left(harness.state, request):
+        harness.commit(command)
+
+
+def _leave(context: Any, left: int, *, is_draining: bool) -> None:
     harness = context.harness
     context.started = set()
     context.now = 1.2
     if not left and is_draining:
         leaving.report_draining(harness)
-    for command in harness.dispatcher.on_left(harness.state, request):
-        harness.commit(command)
+    _say_left(harness, left)
 
 
 @when("it leaves, naming incarnation {left:d}, and is silent for {seconds:f} s")
@@ -62,6 +66,29 @@
     _pass_time(context, seconds, None)
 
 
+@when(
+    "a leader elected {elected:f} s after its lease {event}, and it is silent"
+    " for {seconds:f} s"
+)
+def step_leave_at_new_leader(
+    context: Any, elected: float, event: str, seconds: float
+) -> None:
+    harness = context.harness
+    _leave(context, 2, is_draining=False)
+    _pass_time(context, elected, None)
+    harness.dispatcher.start_term(context.now, harness.state)
+    if event == "hears that incarnation 2 has left":
+        _say_left(harness, 2)
+    else:
+        assert event == "follows one that heard of its leave", event
+    _pass_time(context, seconds, None)
+
+
+@then("another worker has been told to start {count:d} tasks")
+def step_started_elsewhere(context: Any, count: int) -> None:
+    assert len(context.started) == count, context.started
+
+
 @when(
     "it leaves, naming incarnation {left:d}, and still reports {state} for"
     " {seconds:d} s"
--- a/features/steps/leaving_workers_steps.py
+++ b/features/steps/leaving_workers_steps.py
@@ -20,8 +20,8 @@
 MILLICORES = 8000
 TASK = model.format_task_id(model.JobId("job"), 0, 0, 0)
 LEFT_AT = 1.4
-# Nothing was heard of the worker for so long that it is gone.
-GONE_AT = 3.5
+# The lease that was granted at 1.2 s has expired on the slowest clock.
+GONE_AT = 7.7
 
 
 @given("a worker that has restarted as incarnation 2 and runs a task")
@@ -37,6 +37,19 @@
     harness.report(1.2, WORKER, MILLICORES, running, incarnation=2)
 
 
+@given("a worker that has restarted as incarnation 2 and runs nothing")
+def step_restarted_idle_worker(context: Any) -> None:
+    harness = context.harness = filling_steps.DispatcherHarness()
+    harness.report(0.0, WORKER, MILLICORES, incarnation=1)
+    harness.report(1.2, WORKER, MILLICORES, incarnation=2)
+
+
+@then("the leader {state} the worker")
+def step_is_known(context: Any, state: str) -> None:
+    is_known = WORKER in context.harness.dispatcher.fleet.view_by_id
+    assert is_known == (state == "knows"), state
+
+
 def report_draining(harness: filling_steps.DispatcherHarness) -> None:
     """Has incarnation 2 report that it drains, as workers do before they leave."""
     running = (requests.ActiveRun(TASK, 1, "", 10, 1000),)
@@ -55,7 +68,18 @@
         harness.commit(command)
 
 
-@when("incarnation {left:d} is said to have left, and it is silent for 2.1 s")
+@when(
+    "incarnation {left:d} is said to have left, and it is silent for"
+    " {seconds:f} s"
+)
+def step_left_for(context: Any, left: int, seconds: float) -> None:
+    harness = context.harness
+    _say_left(harness, left)
+    for command in harness.dispatcher.expire(LEFT_AT + seconds, harness.state):
+        harness.commit(command)
+
+
+@when("incarnation {left:d} is said to have left, and its lease expires")
 def step_left(context: Any, left: int) -> None:
     harness = context.harness
     harness.decision_buffer.take()
--- a/features/support/cluster_simulation.py
+++ b/features/support/cluster_simulation.py
@@ -379,7 +379,7 @@
             worker.labels,
             worker.capacity,
             worker.draining,
-            0,
+            max(0, round(1000 * (worker.leaves_at - self.now))),
             tuple(
                 self._active_run(task, run) for task, run in worker.runs.items()
             ),
--- a/features/support/departure_scenarios.py
+++ b/features/support/departure_scenarios.py
@@ -1,8 +1,9 @@
-"""Histories of workers that are gone when the last that they sent arrives.
+"""Histories of workers that leave.
 
-Workers leave, or crash behind a partition, and start again under their id. Their
-reports arrive seconds late, after those of the next incarnation or at the next
-leader.
+In one kind, workers leave, or crash behind a partition, and start again under their
+id. Their reports arrive seconds late, after those of the next incarnation or at the
+next leader. In the other kind, workers that leave are cut off and go on, with runs
+that outlast that.
 """
 
 from collections.abc import Callable
@@ -26,6 +27,13 @@
 # How long a worker goes on after its leave if that isn't answered.
 UNANSWERED_LEAVE_S = (1.0, 4.0)
 EXTRA_TIME_S = 60.0
+# Durations of runs, some of which outlast a drain and a lease.
+LONG_RUN_DURATIONS_S = (0.1, 0.4, 4.0, 25.0)
+DRAIN_S = (0.5, 3.0)
+# For how long before its leave a worker isn't answered any more, and for how long it
+# goes on after it.
+UNHEARD_S = (0.0, 1.0)
+UNHEARD_LEAVE_S = (1.0, 6.0)
 
 
 class LateReportSimulation(cluster_simulation.ClusterSimulation):
@@ -110,6 +118,61 @@
             lambda: self.kill_worker(worker),
         )
 
+    def leave_unheard(self, worker: simulated_processes.Worker) -> None:
+        """Lets a worker drain, be cut off, say that it leaves, and go on."""
+        if not worker.alive or worker.draining:
+            return
+        worker.draining = True
+        drain_s = self._rng.uniform(*DRAIN_S)
+        worker.leaves_at = self.now + drain_s
+        unheard_s = min(drain_s, self._rng.uniform(*UNHEARD_S))
+        goes_on_s = drain_s + self._rng.uniform(*UNHEARD_LEAVE_S)
+        self.call_later(drain_s - unheard_s, lambda: _cut_off(worker))
+        # What it sends arrives; the answer doesn't.
+        self.send_leave(
+            worker, drain_s, names_incarnation=self._rng.random() < 0.5
+        )
+        self.call_later(goes_on_s, lambda: self.kill_worker(worker))
+
+
+def _cut_off(worker: simulated_processes.Worker) -> None:
+    worker.cut_off = True
+
+
+def run_unheard_leaves(seed: int, steps: int = 40) -> LateReportSimulation:
+    """Runs a history of workers that leave, are cut off and go on.
+
+    Raises:
+        InvariantViolationError: An invariant does not hold.
+    """
+    simulation = LateReportSimulation(seed)
+    simulation.run_durations_s = LONG_RUN_DURATIONS_S
+    simulation.start()
+    # Independent of the simulation's generator.
+    rng = random.Random(seed * 7919 + 10)
+    for _ in range(steps):
+        worker = rng.choice(simulation.workers)
+        match rng.randrange(12):
+            case 0 | 1 | 2 | 3:
+                simulation.submit_job()
+            case 4 | 5 | 6:
+                simulation.leave_unheard(worker)
+            case 7:
+                simulation.leave_unheard(worker)
+                simulation.run_until(simulation.now + rng.uniform(0.0, 6.0))
+                cluster_scenarios.crash_leader(simulation)
+            case 8:
+                simulation.leave(worker)
+            case 9 | 10:
+                simulation.revive_worker(worker)
+            case 11:
+                cluster_scenarios.inject_keeper_fault(simulation, rng)
+        simulation.run_until(simulation.now + rng.choice((0.1, 0.4, 1.5)))
+    simulation.run_until(simulation.now + 1.0)
+    simulation.run_durations_s = (0.1, 0.4)
+    simulation.recover(EXTRA_TIME_S)
+    return simulation
+
 
 def run_departures(seed: int, steps: int = 60) -> LateReportSimulation:
     """Runs a history of workers that leave, crash and come back.
--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -45,6 +45,8 @@
 RECUT_S = (2.0, soak_workers.HOLD_MAX_S + 3.0)
 # Share of them for which a leave of the earlier life arrives late.
 LATE_LEAVE_SHARE = 0.3
+# Time between two workers that are told to leave; half of them aren't answered.
+DRAIN_INTERVAL_S = (0.8, 2.4)
 # Mean times between faults; under few of them more serving tasks are moved.
 NODE_INTERVALS_S = (1.6, 4.0, 8.0)
 WORKER_INTERVALS_S = (1.5, 4.0)
@@ -190,6 +192,7 @@
         started = time.monotonic()
         self._run_aside(self._disturb_moves)
         self._run_aside(self._restart_and_cut_workers)
+        self._run_aside(self._drain_workers)
         plan: list[tuple[float, Callable[[], None]]] = []
         for begin, interval, fault in (
             (4.0, self._random.choice(NODE_INTERVALS_S), self._disturb_node),
@@ -352,6 +355,26 @@
                 path = f"/api/instances/{life.name}/leave"
                 soak_workers.post(choice.choice(self._controls), path, None)
 
+    def _drain_workers(self) -> None:
+        """Has the busiest workers drain and leave; others take their places."""
+        choice = random.Random(f"drain {self._seed}")
+        while not self._are_faults_over.wait(choice.uniform(*DRAIN_INTERVAL_S)):
+            with self._lives_lock:
+                now = time.monotonic()
+                candidates = [
+                    life
+                    for life in self._lives
+                    if life.name not in STEADY_LABELS
+                    and not life.is_draining
+                    and life.silent_until <= now
+                ]
+                if not candidates:
+                    continue
+                life = max(candidates, key=lambda item: len(item.run_by_task))
+                life.drain()
+                self._lives.remove(life)
+                self._add_worker(f"{life.name}x", life.service, life.labels)
+
     def _send_late(self, name: str, heartbeat: dict[str, object]) -> None:
         """Sends a heartbeat of a worker that has crashed."""
         path = f"/api/instances/{name}/heartbeat"
--- a/features/support/simulated_processes.py
+++ b/features/support/simulated_processes.py
@@ -109,6 +109,7 @@
 
     Attributes:
         draining: Whether it reports that it will leave.
+        leaves_at: When it will leave at the earliest, if it is draining.
         disowned_until: Until then, a request may arrive by which another
             process says that the worker has left.
         lease_until: Time until which it may run tasks.
@@ -149,5 +150,6 @@
     labels: tuple[str, ...] = ()
     capacity: commands.Resources = CAPACITY
     draining: bool = False
+    leaves_at: float = 0.0
     disowned_until: float = 0.0
     started_at: float = 0.0
--- a/features/support/soak_workers.py
+++ b/features/support/soak_workers.py
@@ -13,6 +13,11 @@
 LATE_REPORT_SHARE = 0.7
 MAX_LATE_S = 0.6
 LEAVE_ATTEMPTS = 5
+# Share of the leaving workers that aren't answered any more, from how long before the
+# leave on, and for how long they go on after it. What they send arrives.
+UNANSWERED_SHARE = 0.5
+UNANSWERED_BEFORE_S = 0.8
+UNANSWERED_LEAVE_S = (1.0, 6.0)
 ANSWER_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 4 << 20
 HEARTBEAT_S = 1.5
@@ -109,6 +114,8 @@
         self._last_end = 0
         self._successor: Worker | None = None
         self._drained_at = INFINITE
+        # From when on answers to it are lost.
+        self._unanswered_at = INFINITE
         self._is_draining = False
         self._end_seen = threading.Event()
         self._halted = threading.Event()
@@ -308,7 +315,11 @@
             "ended": [list(item) for item in self._ends[:MAX_LISTED_ENDS]],
         }
         if self._is_draining:
-            heartbeat["drain_remaining_ms"] = int(DRAIN_S * 1000)
+            left_s = DRAIN_S
+            if self._drained_at < INFINITE:
+                # The time beyond the promised one isn't announced.
+                left_s = min(left_s, max(0.0, self._drained_at - 1.0 - now))
+            heartbeat["drain_remaining_ms"] = int(left_s * 1000)
         return heartbeat
 
     def _report(self) -> None:
@@ -357,6 +368,7 @@
                 200 <= status < 300
                 and now - sent_at <= ANSWER_TIMEOUT_S
                 and len(answer) <= MAX_ANSWER_BYTES
+                and now < self._unanswered_at
             )
             if self._halted.is_set():
                 if is_acknowledged:
@@ -369,6 +381,10 @@
                 self._drained_at == INFINITE
             ):
                 self._drained_at = now + DRAIN_S + self._random.uniform(0, 1)
+                if self._random.random() < UNANSWERED_SHARE:
+                    self._unanswered_at = self._drained_at - (
+                        self._random.uniform(0.0, UNANSWERED_BEFORE_S)
+                    )
             self._checks.advance(now)
             return self.obey(json.loads(answer or b"{}"), sent_at, now)
 
@@ -443,6 +459,9 @@
             self._checks.advance(now)
             self._add("worker leaves")
             heartbeat = self._heartbeat(now)
+        if self._unanswered_at < INFINITE:
+            self._leave_unanswered()
+            return
         if self._random.random() < LATE_REPORT_SHARE:
             delay_s = self._random.uniform(0.0, MAX_LATE_S)
             timer = threading.Timer(delay_s, self._report_late, (heartbeat,))
@@ -458,6 +477,19 @@
             self._checks.advance(time.monotonic())
             self._halt()
 
+    def _leave_unanswered(self) -> None:
+        """Says that it leaves, isn't answered, and goes on before it ends."""
+        address = self._addresses[self._address_index % len(self._addresses)]
+        post(address, f"/api/instances/{self.name}/leave", None)
+        goes_on_s = self._random.uniform(*UNANSWERED_LEAVE_S)
+        with self._checks.lock:
+            self._add("leave unanswered", goes_on_s=round(goes_on_s, 1))
+        # New connections can't be opened, so that it isn't heard either.
+        self._halted.wait(goes_on_s)
+        with self._checks.lock:
+            self._checks.advance(time.monotonic())
+            self._halt()
+
     def _report_late(self, heartbeat: dict[str, Any]) -> None:
         """Delivers a report that has been delayed; notes what it leads to."""
         address = self._addresses[self._address_index % len(self._addresses)]
--- a/fulmarrouter/cluster/departures.py
+++ b/fulmarrouter/cluster/departures.py
@@ -2,13 +2,14 @@
 
 A leave may arrive before reports that its worker sent earlier, or late, when the
 worker has started again, and need not name the incarnation. A worker that isn't
-answered goes on for some seconds. So a leave alone proves nothing: the worker is gone
-once it has said that it drains and leaves, and has been silent since; one that is still
-heard, or hasn't said that it drains, is gone when its lease has expired. Reports that
-arrive even later are not processed like others, since the runs may have been started
-elsewhere.
+answered goes on for some seconds, with all that it runs. So neither a leave nor
+silence proves that its runs are over: they are once it lists their ends, or once its
+lease has expired. A worker without runs is gone once it has said that it drains and
+leaves, and has been silent since. Reports that arrive after a worker is gone are not
+processed like others, since its runs may have been started elsewhere.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 
@@ -21,8 +22,8 @@
 
 # How long a worker waits for the answer to a report before it sends another one.
 REPORT_TIMEOUT_S = 1.0
-# Silence after which a worker that leaves is gone: its longest report interval, and
-# time for another report if the first is lost.
+# Silence after which a worker without runs that leaves is gone: its longest report
+# interval, and time for another report if the first is lost.
 SILENCE_S = report_timing.MAX_REPORT_INTERVAL_MS / 1000 + REPORT_TIMEOUT_S + 0.2
 # A report that arrives later than this after the leave was sent after it.
 REPORT_IN_PROGRESS_S = 0.3
@@ -91,12 +92,15 @@
         self,
         now: float,
         view_by_id: Mapping[model.WorkerId, fleet_lib.WorkerView],
+        end_of_runs: Callable[[model.WorkerId], float],
     ) -> list[state_lib.WorkerKey]:
         """Returns the workers that are gone since the last call.
 
         Args:
             now: Monotonic time.
             view_by_id: The workers that report to the leader.
+            end_of_runs: Returns when all that is assigned to a worker is over at
+                the latest, unless it is heard again; a past time if nothing is.
         """
         self._gone_by_worker = {
             worker: (incarnation, until)
@@ -114,7 +118,8 @@
             )
             if view is not None and not is_followed:
                 heard_at = max(heard_at, view.last_heard_at)
-            if is_followed or now - heard_at >= SILENCE_S:
+            is_silent = now - heard_at >= SILENCE_S
+            if is_followed or (is_silent and now >= end_of_runs(worker)):
                 del self._leave_by_worker[worker]
                 self._gone_by_worker[worker] = (
                     leave.incarnation,
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -340,7 +340,17 @@
     ) -> list[log_commands.AnyCommand]:
         """Ends the runs of workers that have left and are gone."""
         commands: list[log_commands.AnyCommand] = []
-        for gone in self._departures.take_gone(now, self.fleet.view_by_id):
+
+        def end_of_runs(worker: model.WorkerId) -> float:
+            if not run_ends.incarnations_with_runs(state, worker):
+                return 0.0
+            return self._leases.end_of(
+                worker, self.fleet.view_by_id.get(worker)
+            )
+
+        for gone in self._departures.take_gone(
+            now, self.fleet.view_by_id, end_of_runs
+        ):
             ends = run_ends.lost_runs_up_to(state, self.fleet, gone)
             view = self.fleet.view_by_id.get(gone.worker)
             lease_end = self._leases.end_of(gone.worker, view)
