Stop what won't end on a worker that is about to leave, before it leaves

Cause: nothing stopped or moved the runs of a worker that drains.

Change: `evictions` requests the stop of the runs that won't end by themselves, as late as a stop still ends before the time that the worker has promised to stay; those that can't save their progress as soon as that is clear. A stop gives a new checkpoint and a listed end, so the task starts elsewhere at once, and the lease is waited for only where a worker isn't heard. How long a run goes on is taken from its progress, else from its estimate. Logged as `runs evicted`.

Why it can't run a task twice: a stop is not taken for an end; the end is listed.

Test changed, as strict: the draining worker in serving_moves.feature says that it stays for 10 s, since the scenario is about moves to it, not about its own tasks, which would be stopped if it left at once.

--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -90,6 +90,7 @@
         rack: str = "r",
         labels: tuple[str, ...] = (),
         clock_ms: int = 0,
+        drain_time_left_ms: int = 0,
     ) -> requests.Orders:
         """Handles a worker's report; returns the orders that answer it."""
         self._sequence += 1
@@ -105,7 +106,7 @@
             labels,
             commands.Resources(millicores, 100_000, 0),
             draining,
-            0,
+            drain_time_left_ms,
             running,
             ended,
             clock_ms,
--- a/features/steps/serving_moves_steps.py
+++ b/features/steps/serving_moves_steps.py
@@ -19,6 +19,7 @@
 from fulmarrouter.cluster import serving_moves
 
 TASK_MILLICORES = 4000
+DRAIN_TIME_LEFT_MS = 10_000
 WORKER_MILLICORES = 16_000
 CHECK_AT_S = 5.0
 STOPPED_AT_S = 5.2
@@ -184,6 +185,8 @@
             self.millicores_by_worker.get(worker, WORKER_MILLICORES),
             running,
             draining=worker in self.draining,
+            # Long enough that nothing is stopped because the worker leaves.
+            drain_time_left_ms=DRAIN_TIME_LEFT_MS,
             incarnation=self.incarnation_by_worker.get(worker, 1),
             labels=self.labels_by_worker.get(worker, ()),
             service=self.service_by_worker.get(worker, filling_steps.SERVICE),
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -14,6 +14,7 @@
 from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import decision_log
 from fulmarrouter.cluster import departures
+from fulmarrouter.cluster import evictions
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import interference_control
 from fulmarrouter.cluster import job_retention
@@ -466,6 +467,11 @@
         view.lease_until = max(view.lease_until, self._leases.granted_end(now))
         view.answered_at = now
         self.fleet.refresh_usage(state, view)
+        if view.report.draining:
+            report_interval_s = self._next_report_ms(view) / 1000
+            evictions.request_stops(
+                now, state, view, report_interval_s, self._decisions
+            )
         budget = order_budget.OrderBudget()
         starts: list[requests.StartOrder] = []
         stops: list[requests.StopOrder] = []
--- a/fulmarrouter/cluster/ordering.py
+++ b/fulmarrouter/cluster/ordering.py
@@ -60,7 +60,7 @@
     end_by_step: list[float] = []
     for step in spec.steps:
         start = max((end_by_step[number] for number in step.after), default=0.0)
-        end_by_step.append(start + _task_duration_s(step))
+        end_by_step.append(start + task_duration_s(step))
     return max(end_by_step, default=0.0)
 
 
@@ -71,10 +71,7 @@
         for spec, step in zip(job.spec.steps, steps, strict=True):
             remaining = len(step.tasks) - step.done_count
             total += (
-                remaining
-                * spec.needs.millicores
-                / 1000
-                * _task_duration_s(spec)
+                remaining * spec.needs.millicores / 1000 * task_duration_s(spec)
             )
     return total
 
@@ -130,7 +127,8 @@
         yield from steps
 
 
-def _task_duration_s(step: model.StepSpec) -> float:
+def task_duration_s(step: model.StepSpec) -> float:
+    """Returns the estimated duration of a step's tasks."""
     return step.estimated_ms / 1000 or DEFAULT_TASK_DURATION_S
 
 
--- a/fulmarrouter/cluster/stall_detection.py
+++ b/fulmarrouter/cluster/stall_detection.py
@@ -22,11 +22,17 @@
 READY_PERCENT = 100  # Progress that a serving task reports once it is ready.
 
 
+# Time for which a run must have been observed to tell how long it goes on.
+MIN_MEASURED_S = 0.3
+
+
 @dataclasses.dataclass
 class _LastProgress:
     run: int
     percent: int
     changed_at: float
+    first_percent: int
+    first_at: float
 
 
 class ProgressTracker:
@@ -40,11 +46,32 @@
     ) -> float:
         """Records a run's progress; returns the time since it last changed."""
         last = self._last_progress_by_task.get(task)
-        if last is None or last.run != run or last.percent != percent:
-            self._last_progress_by_task[task] = _LastProgress(run, percent, now)
+        if last is None or last.run != run:
+            self._last_progress_by_task[task] = _LastProgress(
+                run, percent, now, percent, now
+            )
+            return 0.0
+        if last.percent != percent:
+            last.percent = percent
+            last.changed_at = now
             return 0.0
         return now - last.changed_at
 
+    def remaining_s(self, now: float, task: model.TaskId) -> float | None:
+        """Returns the time that a run still needs at the pace that it has had.
+
+        None if it has been observed for too short a time to tell.
+        """
+        last = self._last_progress_by_task.get(task)
+        if last is None:
+            return None
+        elapsed_s = now - last.first_at
+        if elapsed_s < MIN_MEASURED_S:
+            return None
+        # Progress is reported in whole percent.
+        percent = max(1, last.percent - last.first_percent)
+        return (100 - last.percent) * elapsed_s / percent
+
     def restart_timeout(self, now: float, task: model.TaskId) -> None:
         """Restarts a run's stall timeout, because it is paused."""
         last = self._last_progress_by_task.get(task)
