Take no run for absent while an inherited lease runs

What callers could see: a worker over its capacity, or over the limit of a step, after an election and a partition that holds two reports of it back. Not reported; found by reading each place that takes a run for over.

Cause: 3 s after a worker's first report to a new leader, a report without a run proved that the run was over. Both reports may have been sent before the earlier leader ordered it.

Change: nothing is taken for absent before the inherited lease has ended.

Evidence: two new rows of leader_changes.feature failed before and pass. The rows for a worker that is first heard after 3.6 s are unchanged.

Why it works: a worker that has had an answer in time since the order has sent a later report, and the earlier ones are refused; one that hasn't has no lease.

--- a/features/leader_changes.feature
+++ b/features/leader_changes.feature
@@ -29,6 +29,20 @@
       | 2.9     | still assigned |
       | 3.1     | ended          |
 
+  # Guards against the same by two reports that were held back, both sent before the
+  # order to start the run.
+  Scenario Outline: An unwanted run is missing from a second late report <seconds> s after the first
+    Given a worker on which an earlier leader has started a run that is no longer wanted
+    And a new leader, to which a report without the run arrives after 0.5 s
+    When the run is missing from a report <seconds> s later
+    Then the run is <state>
+
+    Examples:
+      | seconds | state          |
+      | 3.1     | still assigned |
+      | 5.8     | still assigned |
+      | 6.0     | ended          |
+
   # Guards against two tasks of a step that are stopped to move at the same time.
   Scenario: A new leader is elected while a serving task stops to move
     Given two tasks of a step, of which one is to move
--- a/features/steps/leader_changes_steps.py
+++ b/features/steps/leader_changes_steps.py
@@ -17,6 +17,7 @@
 
 TASK = model.TaskId("0a.0.0.0")
 WORKER_MILLICORES = 8000
+ELECTED_AT = 0.5
 
 
 def _end(run: int, worker: str, outcome: model.Outcome) -> log_commands.EndRuns:
@@ -57,10 +58,13 @@
     harness.commit(_end(1, "earlier", model.Outcome.DONE))
 
 
-@given("a new leader, to which a report without the run arrives after 3.6 s")
-def step_late_first_report(context: Any) -> None:
-    _change_leader(context.harness, 0.5)
-    context.harness.report(4.1, "w", WORKER_MILLICORES)
+@given(
+    "a new leader, to which a report without the run arrives after {seconds:g} s"
+)
+def step_late_first_report(context: Any, seconds: float) -> None:
+    _change_leader(context.harness, ELECTED_AT)
+    context.first_report_at = ELECTED_AT + seconds
+    context.harness.report(context.first_report_at, "w", WORKER_MILLICORES)
 
 
 @when("a task of {step} is planned for the worker")
@@ -99,11 +103,12 @@
 @when("the run is missing from a report {seconds:g} s later")
 def step_run_missing(context: Any, seconds: float) -> None:
     harness = context.harness
+    now = context.first_report_at + seconds
     if seconds:
-        harness.report(4.1 + seconds, "w", WORKER_MILLICORES)
+        harness.report(now, "w", WORKER_MILLICORES)
     report = harness.dispatcher.fleet.view_by_id[model.WorkerId("w")].report
     for command in harness.dispatcher.end_absent_runs(
-        4.1 + seconds, harness.state, report
+        now, harness.state, report
     ):
         harness.commit(command)
 
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -177,6 +177,7 @@
                 now,
                 lease_end,
                 first_heard_at=now,
+                inherited_until=lease_end,
                 first_clock_ms=report.clock_ms,
             )
             proposed += log_commands.end_runs(
@@ -566,7 +567,10 @@
         view = self.fleet.view_by_id.get(report.worker)
         if view is None or view.report is not report:
             return []
-        if now - view.first_heard_at < ABSENCE_GRACE_S:
+        if (
+            now - view.first_heard_at < ABSENCE_GRACE_S
+            or now < view.inherited_until
+        ):
             return []
         ends = run_ends.absent_runs(now, state, view)
         worker_log.log_absent_runs(self._decisions, now, view, ends)
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -41,6 +41,9 @@
         first_heard_at: When its first report reached this leader.
         lease_until: When all runs on the worker have ended at the latest,
             unless it reports again.
+        inherited_until: When the lease that earlier leaders granted it has ended.
+            Reports that were sent before may be late, so until then they don't
+            prove that a run which they don't list is over.
         acknowledged_end_number: Reported ends of runs up to this number are
             committed.
         pending_acknowledgements: Log index and number of the last end of each
@@ -80,6 +83,7 @@
     last_heard_at: float
     lease_until: float
     first_heard_at: float = 0.0
+    inherited_until: float = 0.0
     acknowledged_end_number: int = 0
     pending_acknowledgements: list[tuple[int, int]] = dataclasses.field(
         default_factory=list
