--- /dev/null
+++ b/features/steps/log_sizes_steps.py
@@ -0,0 +1,94 @@
+"""Steps on the size of the log between two snapshots."""
+
+import random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from fulmarrouter import commands
+from fulmarrouter import consensus
+from fulmarrouter import messages
+from fulmarrouter import raft_log
+from fulmarrouter.cluster import controller
+from fulmarrouter.cluster import dispatcher
+from fulmarrouter.cluster import log_commands
+from fulmarrouter.cluster import model
+
+KILOBYTE = 1000
+MEGABYTE = 1000 * KILOBYTE
+NOW = 10.0
+
+
+def _address(name: str) -> commands.KeeperAddress:
+    return commands.KeeperAddress(name, "127.0.0.1", 1)
+
+
+def _leader(peers: tuple[str, ...]) -> consensus.Replica:
+    voters = tuple(_address(name) for name in ("k1", *peers))
+    snapshot = raft_log.SnapshotData(1, 1, messages.Membership(voters), b"")
+    saved = consensus.PersistentState(consensus.HardState(), snapshot, ())
+    replica = consensus.Replica(
+        "k1", saved, consensus.Timing(), random.Random(1), 0.0
+    )
+    replica.tick(NOW)
+    for is_pre_vote in (True, False):
+        for peer in peers:
+            vote = messages.VoteReply(1, granted=True, pre=is_pre_vote)
+            replica.step(NOW, peer, vote)
+    assert replica.is_leader
+    return replica
+
+
+@given("a keeper that leads alone")
+def step_lone_leader(context: Any) -> None:
+    replica = _leader(())
+    context.keeper = controller.Controller(
+        replica,
+        controller.ControllerSettings(1, 8080),
+        dispatcher.DispatchSettings(),
+    )
+
+
+@when("{changes:d} changes of a configuration of {kilobytes:d} KB are applied")
+def step_apply_changes(context: Any, changes: int, kilobytes: int) -> None:
+    keeper = context.keeper
+    replica = keeper.replica
+    context.snapshots = 0
+    context.most_uncovered = context.most_held = 0
+    for version in range(1, changes + 1):
+        configuration = model.Configuration(
+            version, str(version), b"x" * (kilobytes * KILOBYTE), (), ()
+        )
+        command = log_commands.ReplaceConfiguration(configuration)
+        replica.propose(log_commands.encode(command))
+        replica.flush(NOW)
+        replica.take_output()
+        keeper.apply_committed(NOW, 0, replica.log.last_index)
+        log = replica.log
+        uncovered = log.range(log.snapshot.last_index + 1, log.last_index)
+        held = log.range(log.base_index + 1, log.last_index)
+        context.most_uncovered = max(context.most_uncovered, _size(uncovered))
+        context.most_held = max(context.most_held, _size(held))
+        if keeper.take_snapshot() is not None:
+            context.snapshots += 1
+
+
+def _size(entries: list[messages.Entry]) -> int:
+    return sum(len(entry.data) for entry in entries)
+
+
+@then("{count:d} snapshots were taken")
+def step_snapshots(context: Any, count: int) -> None:
+    assert context.snapshots == count, context.snapshots
+
+
+@then("its log never held more than {limit:d} MB that no snapshot covers")
+def step_uncovered(context: Any, limit: int) -> None:
+    assert context.most_uncovered <= limit * MEGABYTE, context.most_uncovered
+
+
+@then("it never held more than {limit:d} MB in memory")
+def step_held(context: Any, limit: int) -> None:
+    assert context.most_held <= limit * MEGABYTE, context.most_held
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -30,6 +30,9 @@
 # Entries applied between two snapshots. Keeps the replay after a restart under a
 # second.
 SNAPSHOT_INTERVAL_ENTRIES = 6_000
+# Bytes of the entries applied between two snapshots. Bounds the log on the disk and in
+# memory, whatever the size of an entry; a configuration may have megabytes.
+SNAPSHOT_INTERVAL_BYTES = 16 << 20
 # How long a leader waits for the wanted number of voters before it opens the
 # service with fewer, since the deployment may have fewer disks.
 OPEN_TIMEOUT_S = 5.0
@@ -538,7 +541,11 @@
     def take_snapshot(self) -> raft_log.SnapshotData | None:
         """Returns a snapshot to store if enough entries have been applied."""
         applied = self.replica.applied_index
-        if applied - self._snapshot_index < SNAPSHOT_INTERVAL_ENTRIES:
+        size = self.replica.log.bytes_between(self._snapshot_index, applied)
+        if (
+            applied - self._snapshot_index < SNAPSHOT_INTERVAL_ENTRIES
+            and size < SNAPSHOT_INTERVAL_BYTES
+        ):
             return None
         self._snapshot_index = applied
         return self.replica.compact(self.state.encode())
--- a/fulmarrouter/consensus.py
+++ b/fulmarrouter/consensus.py
@@ -27,6 +27,7 @@
 # Entries kept in memory below the latest snapshot, so that a follower that is
 # slightly behind can catch up without receiving the snapshot.
 RETAINED_ENTRIES = 4096
+RETAINED_BYTES = 8 << 20
 
 
 class Role(enum.Enum):
@@ -364,7 +365,8 @@
     def compact(self, data: bytes) -> raft_log.SnapshotData:
         """Replaces the applied prefix of the log by a snapshot.
 
-        The last `RETAINED_ENTRIES` applied entries stay in memory.
+        The last applied entries stay in memory, up to `RETAINED_ENTRIES` and
+        `RETAINED_BYTES`.
 
         Args:
             data: State at `applied_index`.
@@ -377,7 +379,7 @@
             self.log.membership_at(self.applied_index),
             data,
         )
-        self.log.compact(snapshot, RETAINED_ENTRIES)
+        self.log.compact(snapshot, RETAINED_ENTRIES, RETAINED_BYTES)
         return snapshot
 
     # Elections.
--- a/fulmarrouter/raft_log.py
+++ b/fulmarrouter/raft_log.py
@@ -1,6 +1,8 @@
 """In-memory part of the replicated log, on top of the latest snapshot."""
 
+import bisect
 from collections.abc import Sequence
+import itertools
 
 import msgspec
 
@@ -32,6 +34,14 @@
         self.base_index = snapshot.last_index
         self._base_term = snapshot.last_term
         self._entries = list(entries)
+        # Bytes of all entries up to each one, counted from the first one held.
+        self._bytes_up_to: list[int] = []
+        self._recount_bytes()
+
+    def _recount_bytes(self) -> None:
+        self._bytes_up_to = list(
+            itertools.accumulate(len(entry.data) for entry in self._entries)
+        )
 
     @property
     def last_index(self) -> int:
@@ -70,6 +80,17 @@
             chosen.append(entry)
         return tuple(chosen)
 
+    def bytes_between(self, before: int, last: int) -> int:
+        """Returns the bytes of the entries after `before` up to `last`.
+
+        Entries that aren't held don't count.
+        """
+        return self._bytes_to(last) - self._bytes_to(before)
+
+    def _bytes_to(self, index: int) -> int:
+        held = min(index - self.base_index, len(self._entries))
+        return self._bytes_up_to[held - 1] if held > 0 else 0
+
     def range(self, first: int, last: int) -> list[messages.Entry]:
         """Returns the entries from `first` to `last`, both included."""
         return self._entries[
@@ -79,10 +100,13 @@
     def append(self, entry: messages.Entry) -> None:
         """Appends an entry."""
         self._entries.append(entry)
+        total = self._bytes_up_to[-1] if self._bytes_up_to else 0
+        self._bytes_up_to.append(total + len(entry.data))
 
     def truncate_from(self, index: int) -> None:
         """Drops the entry at `index` and all that follow."""
         del self._entries[index - self.base_index - 1 :]
+        del self._bytes_up_to[index - self.base_index - 1 :]
 
     def membership_at_end(self) -> tuple[messages.Membership, int]:
         """Returns the latest membership and the index of its entry."""
@@ -103,16 +127,31 @@
                 )
         return self.snapshot.membership
 
-    def compact(self, snapshot: SnapshotData, retain: int) -> None:
-        """Drops the entries that the snapshot covers, except the last `retain`.
+    def compact(
+        self, snapshot: SnapshotData, retain: int, retain_bytes: int
+    ) -> None:
+        """Drops the entries that the snapshot covers, except the last ones.
 
         The retained entries let a follower that is slightly behind catch up
         without a snapshot.
+
+        Args:
+            snapshot: The snapshot.
+            retain: Largest number of entries that are retained.
+            retain_bytes: Limit on the bytes of the entries that are retained.
         """
-        base = max(self.base_index, snapshot.last_index - retain)
+        excess = self._bytes_to(snapshot.last_index) - retain_bytes
+        base = max(
+            self.base_index,
+            snapshot.last_index - retain,
+            self.base_index + bisect.bisect_left(self._bytes_up_to, excess) + 1
+            if excess > 0
+            else 0,
+        )
         base_term = self.term_at(base)
         assert base_term is not None
         self._entries = self.range(base + 1, self.last_index)
+        self._recount_bytes()
         self.base_index = base
         self._base_term = base_term
         self.snapshot = snapshot
@@ -120,6 +159,7 @@
     def reset(self, snapshot: SnapshotData) -> None:
         """Replaces the whole log by a snapshot received from a leader."""
         self._entries = []
+        self._bytes_up_to = []
         self.base_index = snapshot.last_index
         self._base_term = snapshot.last_term
         self.snapshot = snapshot
