Send at most 4 MiB ahead to a peer

Cause: a peer was sent up to 8,192 entries before it acknowledged any, whatever their size, through a send buffer of 64 MB that was closed and filled again.

Change: no more entries are sent to a peer with 4 MiB unacknowledged.

Evidence: three new rows of log_sizes.feature failed before; three more, that a peer which acknowledges gets the whole log, pass before and after.

Why it works: what a leader holds for a peer is bounded in bytes, and the rest follows with each acknowledgement.

--- a/features/log_sizes.feature
+++ b/features/log_sizes.feature
@@ -17,3 +17,27 @@
       | 20      | 4000      | 4         | 21        | 30   |
       | 3000    | 1         | 0         | 18        | 26   |
       | 7000    | 1         | 1         | 18        | 26   |
+
+  # Guards against a leader that exceeds its memory with what it sends ahead to a keeper
+  # that has lost its disk.
+  Scenario Outline: A peer lacks <entries> entries of <kilobytes> KB and acknowledges nothing
+    Given a leader with <entries> entries of <kilobytes> KB that a peer lacks
+    When the peer has acknowledged the first entry and is sent more for 10 s
+    Then it has been sent at most <sent> MB
+
+    Examples:
+      | entries | kilobytes | sent |
+      | 100     | 400       | 6    |
+      | 10      | 4000      | 9    |
+      | 7000    | 1         | 6    |
+
+  Scenario Outline: A peer lacks <entries> entries of <kilobytes> KB and acknowledges all that it is sent
+    Given a leader with <entries> entries of <kilobytes> KB that a peer lacks
+    When the peer acknowledges all that it is sent
+    Then it holds the whole log
+
+    Examples:
+      | entries | kilobytes |
+      | 100     | 400       |
+      | 10      | 4000      |
+      | 7000    | 1         |
--- a/features/steps/log_sizes_steps.py
+++ b/features/steps/log_sizes_steps.py
@@ -92,3 +92,78 @@
 @then("it never held more than {limit:d} MB in memory")
 def step_held(context: Any, limit: int) -> None:
     assert context.most_held <= limit * MEGABYTE, context.most_held
+
+
+# What is sent ahead.
+
+PEER = "k2"
+
+
+@given(
+    "a leader with {entries:d} entries of {kilobytes:d} KB that a peer lacks"
+)
+def step_leader_ahead(context: Any, entries: int, kilobytes: int) -> None:
+    replica = context.replica = _leader((PEER, "k3"))
+    for _ in range(entries):
+        replica.propose(b"x" * (kilobytes * KILOBYTE))
+    # What was sent until now had no entries, or the first ones as a probe.
+    replica.flush(NOW)
+    replica.take_output()
+
+
+def _acknowledge(replica: consensus.Replica, now: float, index: int) -> None:
+    reply = messages.AppendReply(
+        term=replica.term,
+        success=True,
+        match_index=index,
+        prev_index=index,
+        round=0,
+        blank=False,
+    )
+    replica.step(now, PEER, reply)
+
+
+def _take_sent(replica: consensus.Replica) -> list[messages.Entry]:
+    return [
+        entry
+        for item in replica.take_output().before_sync
+        if item.to == PEER and isinstance(item.message, messages.Append)
+        for entry in item.message.entries
+    ]
+
+
+@when("the peer has acknowledged the first entry and is sent more for 10 s")
+def step_send_ahead(context: Any) -> None:
+    replica = context.replica
+    _acknowledge(replica, NOW, 2)
+    sent = _take_sent(replica)
+    for tenth in range(1, 101):
+        now = NOW + tenth / 10
+        replica.tick(now)
+        replica.flush(now)
+        sent += _take_sent(replica)
+    context.sent_bytes = _size(sent)
+
+
+@then("it has been sent at most {limit:d} MB")
+def step_sent(context: Any, limit: int) -> None:
+    assert 0 < context.sent_bytes <= limit * MEGABYTE, context.sent_bytes
+
+
+@when("the peer acknowledges all that it is sent")
+def step_acknowledge_all(context: Any) -> None:
+    replica = context.replica
+    context.held_index = 2
+    for _ in range(10_000):
+        _acknowledge(replica, NOW, context.held_index)
+        replica.flush(NOW)
+        sent = _take_sent(replica)
+        if not sent:
+            return
+        assert sent[0].index <= context.held_index + 1, sent[0].index
+        context.held_index = max(context.held_index, sent[-1].index)
+
+
+@then("it holds the whole log")
+def step_holds_all(context: Any) -> None:
+    assert context.held_index == context.replica.log.last_index
--- a/fulmarrouter/consensus.py
+++ b/fulmarrouter/consensus.py
@@ -21,9 +21,10 @@
 MAX_APPEND_BYTES = 1 << 20
 # Snapshot bytes sent in one SnapshotChunk message.
 SNAPSHOT_CHUNK_BYTES = 1 << 19
-# A peer with more unacknowledged entries than this gets only heartbeats until
-# it acknowledges some of them.
+# A peer with more unacknowledged entries than this, or more bytes of them, gets only
+# heartbeats until it acknowledges some of them.
 MAX_IN_FLIGHT_ENTRIES = 8192
+MAX_IN_FLIGHT_BYTES = 4 << 20
 # Entries kept in memory below the latest snapshot, so that a follower that is
 # slightly behind can catch up without receiving the snapshot.
 RETAINED_ENTRIES = 4096
@@ -574,8 +575,7 @@
             self._send_snapshot_chunk(peer, progress)
             return
         entries: tuple[messages.Entry, ...] = ()
-        in_flight = progress.next_index - progress.match_index
-        if progress.probing or in_flight <= MAX_IN_FLIGHT_ENTRIES:
+        if progress.probing or self._may_send_ahead(progress):
             entries = self.log.slice(
                 progress.next_index, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES
             )
@@ -596,6 +596,17 @@
         if not progress.probing:
             progress.next_index += len(entries)
 
+    def _may_send_ahead(self, progress: _Progress) -> bool:
+        """Whether a peer may be sent more than it has acknowledged."""
+        in_flight = progress.next_index - progress.match_index
+        in_flight_bytes = self.log.bytes_between(
+            progress.match_index, progress.next_index - 1
+        )
+        return (
+            in_flight <= MAX_IN_FLIGHT_ENTRIES
+            and in_flight_bytes <= MAX_IN_FLIGHT_BYTES
+        )
+
     def _send_snapshot_chunk(self, peer: str, progress: _Progress) -> None:
         snapshot = self.log.snapshot
         if progress.snapshot_index != snapshot.last_index:
