Refuse a heartbeat without the fields that each worker sends

A heartbeat of another writer under a worker's id, with fields missing, was taken for its next incarnation, which proves that the earlier one runs nothing.

Cause: capacity, labels and others had defaults in the format.

Heartbeats in our own tests lacked such fields; they are completed, and expect what they expected. The one with a capacity above the limit has all of its parts, so that it is still refused for that limit.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -19,6 +19,8 @@
       | a version of 70 bits                  | refused  |
       | unknown fields                        | accepted |
 
+  # Guards against two runs at once, because a heartbeat of another writer under the id of
+  # a worker is taken for its next incarnation.
   Scenario Outline: A heartbeat with <fault> is <verdict>
     When a heartbeat with <fault> is decoded
     Then the input is <verdict>
@@ -29,6 +31,20 @@
       | bytes that are not JSON  | refused  |
       | an unknown state         | refused  |
       | no born time             | refused  |
+      | no service               | refused  |
+      | no address               | refused  |
+      | no zone                  | refused  |
+      | no version               | refused  |
+      | no slots                 | refused  |
+      | no state                 | refused  |
+      | no cold_remaining_ms     | refused  |
+      | no sequence              | refused  |
+      | no capacity              | refused  |
+      | no gpu in its capacity   | refused  |
+      | a capacity that is a number | refused |
+      | no labels                | refused  |
+      | no runs                  | accepted |
+      | no ends                  | accepted |
       | a born time that is text | refused  |
       | an unknown ending        | refused  |
       | a born time of 70 bits   | refused  |
--- a/features/steps/odd_input_steps.py
+++ b/features/steps/odd_input_steps.py
@@ -155,7 +155,12 @@
     "service": "s",
     "address": "127.0.0.1:1",
     "zone": "z",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "cold_remaining_ms": 0,
+    "capacity": {"cpu": 1000, "mem_mb": 100, "gpu": 0},
+    "labels": ["a", "r1"],
     "sequence": 1,
     "born": 1,
 }
@@ -209,7 +214,7 @@
             port = content.rpartition(" ")[2]
             return json.dumps({**fields, "address": f"h:{port}"}).encode()
         case "a capacity above the limit":
-            odd = '1, "capacity": {"cpu": 9223372036854775807}'
+            odd = '1, "capacity": {"cpu": 9223372036854775807, "mem_mb": 1, "gpu": 0}'
         case _:
             return json.dumps(fields).encode() + b"\xff"
     text = json.dumps({**fields, number: "ODD"})
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -96,13 +96,33 @@
     _record_verdict(context, configuration_format.decode_configuration, body)
 
 
+FIELD_BY_FAULT = {
+    "no service": "service",
+    "no address": "address",
+    "no zone": "zone",
+    "no version": "version",
+    "no slots": "slots",
+    "no state": "state",
+    "no cold_remaining_ms": "cold_remaining_ms",
+    "no sequence": "sequence",
+    "no born time": "born",
+    "no capacity": "capacity",
+    "no labels": "labels",
+    "no runs": "running",
+    "no ends": "ended",
+}
+
+
 @when("a heartbeat with {fault} is decoded")
 def step_decode_heartbeat(context: Any, fault: str) -> None:
     heartbeat: dict[str, Any] = {
         "service": "s1",
         "address": "10.0.0.9:8080",
         "zone": "z",
+        "version": "v1",
+        "slots": 8,
         "state": "ready",
+        "cold_remaining_ms": 0,
         "sequence": 1,
         "born": 1700000000000,
         "capacity": {"cpu": 1000, "mem_mb": 100, "gpu": 0},
@@ -113,8 +133,12 @@
     match fault:
         case "an unknown state":
             heartbeat["state"] = "dancing"
-        case "no born time":
-            del heartbeat["born"]
+        case "no gpu in its capacity":
+            del heartbeat["capacity"]["gpu"]
+        case "a capacity that is a number":
+            heartbeat["capacity"] = 1000
+        case _ if fault in FIELD_BY_FAULT:
+            del heartbeat[FIELD_BY_FAULT[fault]]
         case "a born time that is text":
             heartbeat["born"] = "1700000000000"
         case "a born time of 70 bits":
@@ -320,7 +344,10 @@
                 "service": "s1",
                 "address": "127.0.0.1:1",
                 "zone": "z",
+                "version": "v1",
+                "slots": 8,
                 "state": "ready",
+                "cold_remaining_ms": 0,
                 "sequence": sequence,
                 "born": born,
                 "capacity": {"cpu": 8000, "mem_mb": 1000, "gpu": 0},
--- a/features/support/leader_fuzz.py
+++ b/features/support/leader_fuzz.py
@@ -116,11 +116,15 @@
         capacity = {
             "cpu": rng.choice((0, 8_000, 64_000, self._number())),
             "mem_mb": rng.choice((1000, self._number())),
+            "gpu": 0,
         }
         body = {
             "service": rng.choice((filling_steps.SERVICE, "x")),
             "address": "127.0.0.1:1",
             "zone": self._text(),
+            "version": self._text(),
+            "slots": 8,
+            "cold_remaining_ms": 0,
             "state": rng.choice(worker_format.WORKER_STATES),
             "sequence": rng.choice((sequence, sequence, self._number())),
             "born": rng.choice((1, 2, self._number())),
@@ -206,7 +210,7 @@
             "born": 1,
             "state": "ready",
             "service": filling_steps.SERVICE,
-            "capacity": {"cpu": 64_000, "mem_mb": 1000},
+            "capacity": {"cpu": 64_000, "mem_mb": 1000, "gpu": 0},
         }
         return json.dumps(body).encode()
 
