Grant no lease for a report that is too late to be answered

Cause: a report counted as a sign of life, and the lease, from its arrival.

Change: `report_delays` tells by the worker's steady clock how long a report was on its way at the least. Beyond 1.2 s it grants no lease, and the worker counts as heard when the report was sent.

Why it works: a worker drops an answer that comes more than a second after its report, so no lease is lost; drift of 2 % is allowed for, and a slow link only makes a report later than the answer can be.

--- /dev/null
+++ b/features/steps/late_reports_steps.py
@@ -0,0 +1,84 @@
+"""Steps on reports that arrive late."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps import filling_steps
+from fulmarrouter import commands
+from fulmarrouter.cluster import model
+from fulmarrouter.cluster import requests
+
+WORKER = "w"
+OTHER = "other"
+MILLICORES = 8000
+TASK = model.format_task_id(model.JobId("job"), 0, 0, 0)
+INTERVAL_S = 0.4
+# Long enough for a slow clock to be behind by more than an answer may be late.
+REPORTS = 300
+TURN_S = 0.1
+END_S = 20.0
+
+
+def _report(context: Any, sent_at: float, late_s: float) -> requests.Orders:
+    running = (requests.ActiveRun(TASK, 1, "", 100, 1000),)
+    clock_ms = int(1000 * sent_at * context.clock_rate)
+    harness: filling_steps.DispatcherHarness = context.harness
+    return harness.report(
+        sent_at + late_s, WORKER, MILLICORES, running, clock_ms=clock_ms
+    )
+
+
+@given("a worker that runs a lasting task, with a clock that runs at {rate:f}")
+def step_running(context: Any, rate: float) -> None:
+    """A rate of 0 stands for reports without a clock."""
+    context.clock_rate = rate
+    harness = context.harness = filling_steps.DispatcherHarness()
+    harness.report(0.0, WORKER, MILLICORES)
+    needs = commands.Resources(1000, 10, 0)
+    harness.submit("job", model.StepSpec(1, needs, runs_until_cancelled=True))
+    assert harness.plan(0.1)
+    assert harness.report(0.2, WORKER, MILLICORES).starts
+    for number in range(1, REPORTS + 1):
+        context.now = number * INTERVAL_S
+        assert _report(context, context.now, 0.0).lease_ms, context.now
+
+
+@when("it crashes, and its last report arrives {late:f} s late")
+def step_crash(context: Any, late: float) -> None:
+    context.crashed_at = context.now + INTERVAL_S
+    _wait_for_start(context, context.crashed_at + late)
+    if not context.starts:
+        _report(context, context.crashed_at, late)
+        _wait_for_start(context, context.crashed_at + END_S)
+
+
+def _wait_for_start(context: Any, end: float) -> None:
+    harness = context.harness
+    context.starts = ()
+    while not context.starts and context.now < end - 0.01:
+        context.now = round(context.now + TURN_S, 1)
+        for command in harness.dispatcher.expire(context.now, harness.state):
+            harness.commit(command)
+        harness.plan(context.now)
+        context.starts = harness.report(context.now, OTHER, MILLICORES).starts
+
+
+@then(
+    "another worker is told to start the task within {seconds:f} s of the crash"
+)
+def step_started(context: Any, seconds: float) -> None:
+    assert context.starts
+    assert context.now <= context.crashed_at + seconds, context.now
+
+
+@when("one of its reports arrives {late:f} s late")
+def step_late_report(context: Any, late: float) -> None:
+    context.orders = _report(context, context.now + INTERVAL_S, late)
+
+
+@then("that report gets an answer {answer}")
+def step_answered(context: Any, answer: str) -> None:
+    assert bool(context.orders.lease_ms) == (answer == "with a lease")
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -24,6 +24,7 @@
 from fulmarrouter.cluster import order_budget
 from fulmarrouter.cluster import planner as planner_lib
 from fulmarrouter.cluster import report_checks
+from fulmarrouter.cluster import report_delays
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import restarts
@@ -202,7 +203,11 @@
                 reason=ignored_for,
             )
         view.report = report
-        view.last_heard_at = now
+        delay_s = view.clock.delay_s(now, report.clock_ms)
+        view.is_report_late = delay_s > report_delays.MAX_ANSWERED_S
+        view.last_heard_at = max(view.last_heard_at, now - delay_s)
+        if view.is_report_late:
+            worker_log.log_late_report(self._decisions, view, delay_s)
         worker_log.log_unassigned_runs(self._decisions, state, view)
         view.running = {item.task: item for item in report.running}
         proposed += log_commands.end_runs(self._new_ends(now, state, view))
@@ -463,7 +468,7 @@
         if self._departures.is_gone(now, worker_key):
             return departures.late_orders(report, term)
         view = self.fleet.view_by_id.get(report.worker)
-        if view is None or view.report is not report:
+        if view is None or view.report is not report or view.is_report_late:
             return requests.Orders()
         view.lease_until = max(view.lease_until, self._leases.granted_end(now))
         view.answered_at = now
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -8,6 +8,7 @@
 from fulmarrouter.cluster import gaps
 from fulmarrouter.cluster import health
 from fulmarrouter.cluster import model
+from fulmarrouter.cluster import report_delays
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import stall_detection
 from fulmarrouter.cluster import state as state_lib
@@ -55,6 +56,9 @@
         undecided: Earlier incarnations with runs that it may have started by such
             an answer. Its lease covers them too.
         first_clock_ms: Its clock at its first report to this leader.
+        clock: Its clock, which tells how long its reports were on their way.
+        is_report_late: Whether its last report was on its way for so long that it
+            drops the answer.
         ended: Runs that it has reported as ended and that the replicated state
             still contains.
         running: Runs that it last reported as running.
@@ -93,6 +97,10 @@
     starts_after: float = NEVER
     undecided: set[state_lib.WorkerKey] = dataclasses.field(default_factory=set)
     first_clock_ms: int = 0
+    clock: report_delays.WorkerClock = dataclasses.field(
+        default_factory=report_delays.WorkerClock
+    )
+    is_report_late: bool = False
     ended: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
     running: dict[model.TaskId, requests.ActiveRun] = dataclasses.field(
         default_factory=dict
--- /dev/null
+++ b/fulmarrouter/cluster/report_delays.py
@@ -0,0 +1,38 @@
+"""Tells how long a report was on its way, by its worker's steady clock.
+
+A report may arrive seconds late, when its worker has crashed. Nobody takes the answer
+to such a report then, so it is no sign of life, and grants no lease.
+"""
+
+# By how much a worker's clock may run slow, as a share, and a little more.
+MAX_DRIFT = 0.03
+# A worker drops an answer that arrives more than a second after it has sent the
+# report.
+MAX_ANSWERED_S = 1.2
+
+
+class WorkerClock:
+    """The steady clock of one incarnation of a worker, as its reports show it."""
+
+    def __init__(self) -> None:
+        # Smallest difference to the leader's clock, allowing for drift since.
+        self._offset_s = float("inf")
+        self._updated_at = 0.0
+
+    def delay_s(self, now: float, clock_ms: int) -> float:
+        """Records a report; returns how long it was on its way at the least.
+
+        Args:
+            now: Monotonic time at which it arrived.
+            clock_ms: The worker's clock at the sending; 0 if unknown.
+
+        Returns:
+            Seconds beyond the fastest report so far; 0 if that can't be told.
+        """
+        if not clock_ms:
+            return 0.0
+        offset_s = now - clock_ms / 1000
+        drift_s = MAX_DRIFT * (now - self._updated_at)
+        self._offset_s = min(offset_s, self._offset_s + drift_s)
+        self._updated_at = now
+        return offset_s - self._offset_s
--- a/fulmarrouter/cluster/worker_log.py
+++ b/fulmarrouter/cluster/worker_log.py
@@ -137,3 +137,17 @@
         ),
         not_listed=max(0, len(ends) - MAX_RUNS_PER_LINE),
     )
+
+
+def log_late_report(
+    decisions: decision_log.DecisionBuffer,
+    view: fleet_lib.WorkerView,
+    delay_s: float,
+) -> None:
+    """Logs a report that was on its way for so long that it grants no lease."""
+    decisions.add(
+        "report late",
+        worker=view.key.worker,
+        incarnation=view.key.incarnation,
+        late_ms=round(1000 * delay_s),
+    )
