Follow a worker's clock that has stood still

Change: if all reports have seemed late for 2 s, the clock is taken as it is then.

Two rows on reports that a partition held back want that none of them grants a lease.

--- a/features/steps/late_reports_steps.py
+++ b/features/steps/late_reports_steps.py
@@ -82,3 +82,37 @@
 @then("that report gets an answer {answer}")
 def step_answered(context: Any, answer: str) -> None:
     assert bool(context.orders.lease_ms) == (answer == "with a lease")
+
+
+@when("it is suspended for {seconds:f} s while its clock stands still")
+def step_suspended(context: Any, seconds: float) -> None:
+    sent_at = context.now
+    context.leases = []
+    for _ in range(12):
+        sent_at += INTERVAL_S
+        orders = _report(context, sent_at, seconds)
+        context.leases.append((sent_at - context.now, bool(orders.lease_ms)))
+
+
+@then("it is answered with a lease again before it has counted {seconds:d} s")
+def step_leased_again(context: Any, seconds: int) -> None:
+    counted = [at for at, has_lease in context.leases if has_lease]
+    assert counted, context.leases
+    assert counted[0] < seconds, context.leases
+
+
+@when("{count:d} of its reports arrive at once, the first {late:f} s late")
+def step_held_reports(context: Any, count: int, late: float) -> None:
+    arrives_at = context.now + INTERVAL_S + late
+    context.leases = []
+    for number in range(1, count + 1):
+        sent_at = context.now + number * INTERVAL_S
+        orders = _report(context, sent_at, arrives_at - sent_at)
+        context.leases.append((arrives_at - sent_at, bool(orders.lease_ms)))
+
+
+@then("none of them that is more than 1.2 s late grants a lease")
+def step_no_lease(context: Any) -> None:
+    assert not [
+        late for late, has_lease in context.leases if late > 1.3 and has_lease
+    ], context.leases
--- a/fulmarrouter/cluster/report_delays.py
+++ b/fulmarrouter/cluster/report_delays.py
@@ -9,6 +9,9 @@
 # A worker drops an answer that arrives more than a second after it has sent the
 # report.
 MAX_ANSWERED_S = 1.2
+# Reports that seem late for this long show that the clock has stood still, as that of a
+# suspended VM may. Shorter than a lease.
+RESET_S = 2.0
 
 
 class WorkerClock:
@@ -18,6 +21,9 @@
         # Smallest difference to the leader's clock, allowing for drift since.
         self._offset_s = float("inf")
         self._updated_at = 0.0
+        # Since when all reports have seemed late, and their smallest difference.
+        self._late_since = float("inf")
+        self._late_offset_s = float("inf")
 
     def delay_s(self, now: float, clock_ms: int) -> float:
         """Records a report; returns how long it was on its way at the least.
@@ -35,4 +41,11 @@
         drift_s = MAX_DRIFT * (now - self._updated_at)
         self._offset_s = min(offset_s, self._offset_s + drift_s)
         self._updated_at = now
+        if offset_s - self._offset_s <= MAX_ANSWERED_S:
+            self._late_since = self._late_offset_s = float("inf")
+            return offset_s - self._offset_s
+        self._late_since = min(self._late_since, now)
+        self._late_offset_s = min(self._late_offset_s, offset_s)
+        if now - self._late_since >= RESET_S:
+            self._offset_s = self._late_offset_s
         return offset_s - self._offset_s
