Answer a repeat from the ledger if an entry can't attempt it yet

Cause: an entry asked for a slot before the ledger, and without one it didn't ask.

Change: FindRun asks the leader what a repeat is answered. It is sent if the entry refuses for what it knows (no endpoint, no valid configuration, unknown service), not for load, so that refusals under load cause no more of it. A key without an outcome still gets 3009, since an earlier attempt may be on its way.

An earlier keeper refuses FindRun as invalid, and the caller gets 3009 as before.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -131,3 +131,21 @@
       | CONNECTION_LOST, DEADLINE_PASSED | CONNECTION_LOST |
       | CONNECT_FAILED, CONNECTION_LOST  | CONNECTION_LOST |
       | CONNECT_FAILED                   | CONNECT_FAILED  |
+
+  # Guards against 3009 just after an entry's start, though the ledger has the outcome.
+  Scenario Outline: A request is sent again to an entry that <refuses>, and the ledger has <recorded>
+    When a request with a key of <origin> is refused with <refuses> and the ledger has <recorded>
+    Then the caller is answered <code>
+
+    Examples:
+      | origin     | refuses              | recorded            | code             |
+      | the caller | NO_ENDPOINT          | an answer           | REPEATED         |
+      | the caller | CONFIG_LEASE_EXPIRED | an answer           | REPEATED         |
+      | the caller | UNKNOWN_SERVICE      | an answer           | REPEATED         |
+      | the caller | NO_ENDPOINT          | an attempt          | IN_PROGRESS      |
+      | the caller | NO_ENDPOINT          | an unknown outcome  | OUTCOME_UNKNOWN  |
+      | the caller | NO_ENDPOINT          | another request     | KEY_REUSED       |
+      | the caller | NO_ENDPOINT          | nothing             | ATTEMPT_NOT_SENT |
+      | the caller | NO_ENDPOINT          | no leader           | ATTEMPT_NOT_SENT |
+      | the caller | OVERLOADED           | an answer           | ATTEMPT_NOT_SENT |
+      | the entry  | NO_ENDPOINT          | nothing             | NO_ENDPOINT      |
--- a/fulmarrouter/ledger.py
+++ b/fulmarrouter/ledger.py
@@ -12,6 +12,20 @@
 from fulmarrouter import state as state_lib
 
 
+def find_result(
+    state: state_lib.State, key: str, digest: str
+) -> commands.Result | None:
+    """Returns the result for a request by its key, None if it has not run."""
+    run = state.run_by_key.get(key)
+    if run is None:
+        return None
+    if run.digest and run.digest != digest:
+        return commands.Result(codes.Code.KEY_REUSED, run.digest)
+    if run.state is commands.RunState.NOT_RUN:
+        return None
+    return _result_for_repeat(run)
+
+
 def _result_for_repeat(run: state_lib.Run) -> commands.Result:
     """Returns the result for a request whose key has run or may have run."""
     if run.state is commands.RunState.INTENT:
@@ -56,10 +70,9 @@
         if run.state is commands.RunState.INTENT:
             return commands.Result(codes.Code.ACCEPTED, index=index)
         return commands.Result(codes.Code.NONCE_SPENT)
-    if run.digest and run.digest != command.digest:
-        return commands.Result(codes.Code.KEY_REUSED, run.digest)
-    if run.state is not commands.RunState.NOT_RUN:
-        return _result_for_repeat(run)
+    result = find_result(state, command.key, command.digest)
+    if result is not None:
+        return result
     run.digest = command.digest
     run.state = commands.RunState.INTENT
     run.session = command.session
--- a/fulmarrouter/proxy.py
+++ b/fulmarrouter/proxy.py
@@ -50,6 +50,12 @@
 # Longest time that a caller waits for the ledger to record an intent, and again
 # for it to record the outcome.
 LEDGER_TIMEOUT_S = 2.0
+# Refusals by what an entry knows, as just after its start, not by load.
+REFUSALS_BY_STATE = (
+    codes.Code.NO_ENDPOINT,
+    codes.Code.CONFIG_LEASE_EXPIRED,
+    codes.Code.UNKNOWN_SERVICE,
+)
 # How long the leader client resends an outcome; this goes on after the caller
 # has been answered.
 OUTCOME_TIMEOUT_S = 60.0
@@ -203,7 +209,8 @@
     ) -> CallResult:
         slot = self._get_slot(request, deadline, frozenset(), False, True)
         if isinstance(slot, routing.Refusal):
-            return self._not_attempted_result(request, slot.code)
+            known = self._find_result(request, slot.code, deadline)
+            return known or self._not_attempted_result(request, slot.code)
         nonce = secrets.token_hex(16)
         intent = self._record_intent(request, slot, nonce, deadline)
         if intent is not None:
@@ -215,6 +222,23 @@
             return intent
         return self._attempt_and_record(request, slot, nonce, deadline)
 
+    def _find_result(
+        self, request: CallerRequest, refusal: codes.Code, deadline: float
+    ) -> CallResult | None:
+        """Returns what the ledger has on a repeat of a request.
+
+        None if it has nothing, or isn't asked: a refusal for load must not cause
+        more of it.
+        """
+        if request.key_is_new or refusal not in REFUSALS_BY_STATE:
+            return None
+        find = requests.FindRun(request.key, _request_digest(request))
+        timeout = min(LEDGER_TIMEOUT_S, deadline - time.monotonic())
+        reply = self._client.send_request(find, timeout).result()
+        if not isinstance(reply, requests.FoundRun) or reply.result is None:
+            return None
+        return CallResult(reply.result.code, reply.result.answer)
+
     def _not_attempted_result(
         self, request: CallerRequest, code: codes.Code
     ) -> CallResult:
--- a/fulmarrouter/queries.py
+++ b/fulmarrouter/queries.py
@@ -10,6 +10,7 @@
 from fulmarrouter import event_record
 from fulmarrouter import jobs
 from fulmarrouter import leader as leader_lib
+from fulmarrouter import ledger
 from fulmarrouter import requests
 from fulmarrouter import state as state_lib
 
@@ -183,6 +184,14 @@
     )
 
 
+@handles(requests.FindRun)
+def _find_run(context: Context, request: requests.FindRun) -> requests.AnyReply:
+    """Returns what a repeat of a request is answered."""
+    return requests.FoundRun(
+        ledger.find_result(context.state, request.key, request.digest)
+    )
+
+
 @handles(requests.GetStatus)
 def _get_status(
     context: Context, request: requests.GetStatus
--- a/fulmarrouter/requests.py
+++ b/fulmarrouter/requests.py
@@ -135,6 +135,17 @@
     limit: int = 100
 
 
+class FindRun(Request, frozen=True):
+    """Asks what a repeat of a non-idempotent request is to be answered.
+
+    Attributes:
+        digest: Digest of the request.
+    """
+
+    key: str
+    digest: str
+
+
 class GetStatus(Request, frozen=True):
     """Asks for the state of the quorum and its members."""
 
@@ -157,6 +168,7 @@
     | ListTickets
     | GetStatus
     | GetRecord
+    | FindRun
 )
 
 
@@ -421,6 +433,12 @@
     account: event_record.IntervalEvents
 
 
+class FoundRun(Reply, frozen=True):
+    """Reply to FindRun; the result is None if the key has not run."""
+
+    result: commands.Result | None
+
+
 AnyReply = (
     Refused
     | Proposed
@@ -433,6 +451,7 @@
     | TicketList
     | Status
     | RecordReply
+    | FoundRun
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
