--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -7,15 +7,16 @@
 from behave import when
 
 from features.steps import filling_steps
+from features.steps import leaving_workers_steps
 from fulmarrouter import commands
 from fulmarrouter.cluster import dispatcher
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
 
-WORKER = "w"
-OTHER = "other"
-MILLICORES = 8000
-TASK = model.format_task_id(model.JobId("job"), 0, 0, 0)
+WORKER = leaving_workers_steps.WORKER
+OTHER = leaving_workers_steps.OTHER
+MILLICORES = leaving_workers_steps.MILLICORES
+TASK = leaving_workers_steps.TASK
 FIRST_SEEN_AT = 1.0
 DRAINS_AT = 2.0
 TURN_S = 0.1
@@ -112,10 +113,7 @@
 
 @when("the worker leaves and nothing is listed")
 def step_leaves(context: Any) -> None:
-    harness = context.harness
-    request = requests.WorkerLeft(model.WorkerId(WORKER), 0)
-    for command in harness.dispatcher.on_left(harness.state, request):
-        harness.commit(command)
+    leaving_workers_steps.send_leave(context.harness, 0)
 
 
 @then(
--- a/features/steps/late_reports_steps.py
+++ b/features/steps/late_reports_steps.py
@@ -7,14 +7,15 @@
 from behave import when
 
 from features.steps import filling_steps
+from features.steps import leaving_workers_steps
 from fulmarrouter import commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
 
-WORKER = "w"
-OTHER = "other"
-MILLICORES = 8000
-TASK = model.format_task_id(model.JobId("job"), 0, 0, 0)
+WORKER = leaving_workers_steps.WORKER
+OTHER = leaving_workers_steps.OTHER
+MILLICORES = leaving_workers_steps.MILLICORES
+TASK = leaving_workers_steps.TASK
 INTERVAL_S = 0.4
 # Long enough for a slow clock to be behind by more than an answer may be late.
 REPORTS = 300
--- a/features/steps/late_success_steps.py
+++ b/features/steps/late_success_steps.py
@@ -45,19 +45,13 @@
         context.started |= {item.task for item in orders.starts}
 
 
-def _say_left(harness: filling_steps.DispatcherHarness, left: int) -> None:
-    request = requests.WorkerLeft(model.WorkerId(leaving.WORKER), left)
-    for command in harness.dispatcher.on_left(harness.state, request):
-        harness.commit(command)
-
-
 def _leave(context: Any, left: int, *, is_draining: bool) -> None:
     harness = context.harness
     context.started = set()
     context.now = 1.2
     if not left and is_draining:
         leaving.report_draining(harness)
-    _say_left(harness, left)
+    leaving.send_leave(harness, left)
 
 
 @when("it leaves, naming incarnation {left:d}, and is silent for {seconds:f} s")
@@ -78,7 +72,7 @@
     _pass_time(context, elected, None)
     harness.dispatcher.start_term(context.now, harness.state)
     if event == "hears that incarnation 2 has left":
-        _say_left(harness, 2)
+        leaving.send_leave(harness, 2)
     else:
         assert event == "follows one that heard of its leave", event
     _pass_time(context, seconds, None)
--- a/features/steps/leaving_workers_steps.py
+++ b/features/steps/leaving_workers_steps.py
@@ -58,12 +58,17 @@
     )
 
 
-def _say_left(harness: filling_steps.DispatcherHarness, left: int) -> None:
-    if not left:
-        report_draining(harness)
+def send_leave(harness: filling_steps.DispatcherHarness, left: int) -> None:
+    """Has the worker's leave arrive; `left` is 0 if it names no incarnation."""
     request = requests.WorkerLeft(model.WorkerId(WORKER), left)
     for command in harness.dispatcher.on_left(harness.state, request):
         harness.commit(command)
+
+
+def _say_left(harness: filling_steps.DispatcherHarness, left: int) -> None:
+    if not left:
+        report_draining(harness)
+    send_leave(harness, left)
     for command in harness.dispatcher.expire(LEFT_AT, harness.state):
         harness.commit(command)
 
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -11,6 +11,7 @@
 from fleet_adapter import worker_format
 
 from features.steps import filling_steps
+from features.steps import leaving_workers_steps
 from fulmarrouter import errors
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
@@ -277,9 +278,7 @@
         context.lease_granted_at = 1.3
         harness.dispatcher.start_term(1.3, harness.state)
     harness.report(1.3, OTHER, MILLICORES)
-    request = requests.WorkerLeft(model.WorkerId(WORKER), 0)
-    for command in harness.dispatcher.on_left(harness.state, request):
-        harness.commit(command)
+    leaving_workers_steps.send_leave(harness, 0)
 
 
 @then("the task is started elsewhere once the worker's lease has expired")
--- a/features/support/departure_scenarios.py
+++ b/features/support/departure_scenarios.py
@@ -28,6 +28,7 @@
 UNANSWERED_LEAVE_S = (1.0, 4.0)
 EXTRA_TIME_S = 60.0
 # Durations of runs, some of which outlast a drain and a lease.
+SHORT_RUN_DURATIONS_S = (0.1, 0.4)
 LONG_RUN_DURATIONS_S = (0.1, 0.4, 4.0, 25.0)
 DRAIN_S = (0.5, 3.0)
 # For how long before its leave a worker isn't answered any more, and for how long it
@@ -85,6 +86,12 @@
             self.end_partition(worker.worker)
         self.quiesce(seconds)
 
+    def recover_with_short_runs(self, seconds: float) -> None:
+        """Recovers, with runs that leave time for all jobs to end."""
+        self.run_until(self.now + 1.0)
+        self.run_durations_s = SHORT_RUN_DURATIONS_S
+        self.recover(seconds)
+
     def end_partition(self, name: str) -> None:
         """Reconnects a worker; what the partition has held back arrives."""
         for worker in self.workers:
@@ -168,9 +175,7 @@
             case 11:
                 cluster_scenarios.inject_keeper_fault(simulation, rng)
         simulation.run_until(simulation.now + rng.choice((0.1, 0.4, 1.5)))
-    simulation.run_until(simulation.now + 1.0)
-    simulation.run_durations_s = (0.1, 0.4)
-    simulation.recover(EXTRA_TIME_S)
+    simulation.recover_with_short_runs(EXTRA_TIME_S)
     return simulation
 
 
--- a/features/support/restart_scenarios.py
+++ b/features/support/restart_scenarios.py
@@ -16,7 +16,6 @@
 # Share of the answers that are late, and by how much.
 LATE_ANSWER_SHARE = 0.4
 MAX_LATE_ANSWER_S = 1.1
-RUN_DURATIONS_S = (0.1, 0.4, 4.0, 25.0)
 MAX_DOWN_S = 0.7
 CUT_DELAY_S = (0.0, 2.0)
 CUT_S = (2.0, 12.0)
@@ -30,7 +29,7 @@
 
     def __init__(self, seed: int) -> None:
         super().__init__(seed)
-        self.run_durations_s = RUN_DURATIONS_S
+        self.run_durations_s = departure_scenarios.LONG_RUN_DURATIONS_S
         self.max_stop_s = MAX_STOP_S
 
     def _transmit_report(
@@ -120,7 +119,5 @@
             case 11:
                 cluster_scenarios.inject_keeper_fault(simulation, rng)
         simulation.run_until(simulation.now + rng.choice((0.1, 0.4, 1.5)))
-    simulation.run_until(simulation.now + 1.0)
-    simulation.run_durations_s = (0.1, 0.4)
-    simulation.recover(EXTRA_TIME_S)
+    simulation.recover_with_short_runs(EXTRA_TIME_S)
     return simulation
