Let the process soak restore a worker's capacity, and cancel jobs that may run

Cause, by the records: faults of the soak itself that overlap.

Change: a worker's capacity is given back by its name. Lasting jobs are cancelled unless each answer was a clear refusal. No rule and no bound is changed.

--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -309,8 +309,7 @@
                 if life.is_draining:
                     continue
                 self._restart(life, soak_workers.SMALL_CAPACITY)
-                small_life = self._lives[-1]
-            self._run_aside(functools.partial(self._restore, small_life))
+            self._run_aside(functools.partial(self._restore, life.name))
 
     def _restart(
         self, life: soak_workers.Worker, capacity: dict[str, int]
@@ -321,11 +320,14 @@
         time.sleep(RESTART_S)
         self._add_worker(life.name, life.service, life.labels, capacity)
 
-    def _restore(self, life: soak_workers.Worker) -> None:
+    def _restore(self, name: str) -> None:
+        """Gives a worker its capacity back; it may have restarted meanwhile."""
         time.sleep(SMALL_LIFE_S)
         with self._lives_lock:
-            if life in self._lives:
-                self._restart(life, soak_workers.CAPACITY)
+            for life in list(self._lives):
+                is_small = life.capacity == soak_workers.SMALL_CAPACITY
+                if life.name == name and is_small:
+                    self._restart(life, soak_workers.CAPACITY)
 
     def _restart_and_cut_workers(self) -> None:
         """Has workers start again under their id, and cuts them off soon after.
@@ -424,7 +426,8 @@
         self, client: soak_clients.Client, until: float
     ) -> None:
         for job in client.jobs:
-            if job.is_accepted and job.is_lasting:
+            # One that may have been accepted would pause filling tasks for ever.
+            if job.is_lasting and not job.is_rejected:
                 while not client.cancel(job) and time.monotonic() < until:
                     time.sleep(0.2)
 
