List tasks in log lines, and wait for answers, by one definition each

No change of behaviour. Four places wrote the fields of a line that lists tasks, run_log's among them; they call decision_log.list_fields. The time for which a worker waits for an answer stood in two modules; it is in report_timing, which the late reports now derive their limit from. The condition on when a run is stopped before its worker leaves compares the times themselves.

--- a/fulmarrouter/cluster/decision_log.py
+++ b/fulmarrouter/cluster/decision_log.py
@@ -4,6 +4,7 @@
 within a rate limit and logs how many were dropped.
 """
 
+from collections.abc import Sequence
 import dataclasses
 
 import structlog
@@ -46,6 +47,19 @@
         return decisions
 
 
+def list_fields(texts: Sequence[str], limit: int) -> dict[str, object]:
+    """Returns the fields of a line that lists tasks, and how many it leaves out.
+
+    Args:
+        texts: One text for each task.
+        limit: Most tasks that are listed.
+    """
+    return {
+        "tasks": " ".join(texts[:limit]),
+        "not_listed": max(0, len(texts) - limit),
+    }
+
+
 class RateLimitedLog:
     """Writes decisions to a log within the rate limit (a token bucket)."""
 
--- a/fulmarrouter/cluster/departures.py
+++ b/fulmarrouter/cluster/departures.py
@@ -20,11 +20,13 @@
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import state as state_lib
 
-# How long a worker waits for the answer to a report before it sends another one.
-REPORT_TIMEOUT_S = 1.0
 # Silence after which a worker without runs that leaves is gone: its longest report
 # interval, and time for another report if the first is lost.
-SILENCE_S = report_timing.MAX_REPORT_INTERVAL_MS / 1000 + REPORT_TIMEOUT_S + 0.2
+SILENCE_S = (
+    report_timing.MAX_REPORT_INTERVAL_MS / 1000
+    + report_timing.REPORT_TIMEOUT_S
+    + 0.2
+)
 # A report that arrives later than this after the leave was sent after it.
 REPORT_IN_PROGRESS_S = 0.3
 # For how long reports of a worker that is gone are recognized; at least as long as its
--- a/fulmarrouter/cluster/evictions.py
+++ b/fulmarrouter/cluster/evictions.py
@@ -13,6 +13,7 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import ordering
 from fulmarrouter.cluster import state as state_lib
+from fulmarrouter.cluster import worker_log
 
 # Time that a worker may need to stop a run and to report its end.
 STOP_S = 0.6
@@ -21,8 +22,6 @@
 # A worker may stay longer than it has promised, and how long a run goes on is an
 # estimate. So a run is stopped early only if it needs this much more time.
 MIN_EXCESS_S = 1.0
-# Limit on the tasks in one log line.
-MAX_TASKS_PER_LINE = 16
 
 
 def request_stops(
@@ -55,22 +54,18 @@
         ):
             continue
         spec = state.spec_of(found[1])
-        excess_s = _remaining_s(now, view, spec, task) - time_left_s
+        remaining_s = _remaining_s(now, view, spec, task)
         if is_last_call:
-            is_due = excess_s > max(0.0, ENDING_S - time_left_s)
+            is_due = remaining_s > max(time_left_s, ENDING_S)
         else:
-            is_due = not _keeps_its_use(spec) and excess_s > MIN_EXCESS_S
+            is_due = (
+                not _keeps_its_use(spec)
+                and remaining_s > time_left_s + MIN_EXCESS_S
+            )
         if is_due:
             view.stop_requested[task] = run
             stopped.append(task)
-    if stopped:
-        decisions.add(
-            "runs evicted",
-            worker=view.key.worker,
-            time_left_ms=round(1000 * time_left_s),
-            tasks=" ".join(stopped[:MAX_TASKS_PER_LINE]),
-            not_listed=max(0, len(stopped) - MAX_TASKS_PER_LINE),
-        )
+    worker_log.log_evicted_runs(decisions, view, time_left_s, stopped)
 
 
 def _keeps_its_use(spec: model.StepSpec) -> bool:
--- a/fulmarrouter/cluster/report_delays.py
+++ b/fulmarrouter/cluster/report_delays.py
@@ -4,11 +4,12 @@
 to such a report then, so it is no sign of life, and grants no lease.
 """
 
+from fulmarrouter.cluster import report_timing
+
 # By how much a worker's clock may run slow, as a share, and a little more.
 MAX_DRIFT = 0.03
-# A worker drops an answer that arrives more than a second after it has sent the
-# report.
-MAX_ANSWERED_S = 1.2
+# A worker drops the answer to a report that was on its way for longer.
+MAX_ANSWERED_S = report_timing.REPORT_TIMEOUT_S + 0.2
 # Reports that seem late for this long show that the clock has stood still, as that of a
 # suspended VM may. Shorter than a lease.
 RESET_S = 2.0
--- a/fulmarrouter/cluster/report_timing.py
+++ b/fulmarrouter/cluster/report_timing.py
@@ -6,6 +6,9 @@
 are, which bounds the load of the leader.
 """
 
+# How long a worker waits for the answer to a report before it sends another one. It
+# drops an answer that arrives later.
+REPORT_TIMEOUT_S = 1.0
 # Report intervals of workers with and without free capacity.
 FREE_REPORT_INTERVAL_MS = 100
 FULL_REPORT_INTERVAL_MS = 400
--- a/fulmarrouter/cluster/restarts.py
+++ b/fulmarrouter/cluster/restarts.py
@@ -14,15 +14,17 @@
 from collections.abc import Mapping
 from collections.abc import MutableMapping
 
-from fulmarrouter.cluster import departures
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
+from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import run_ends
 from fulmarrouter.cluster import state as state_lib
 
 # How long after a report an answer to it may be taken, on a slow clock.
-ANSWER_VALIDITY_S = departures.REPORT_TIMEOUT_S * fleet_lib.CLOCK_DRIFT_FACTOR
+ANSWER_VALIDITY_S = (
+    report_timing.REPORT_TIMEOUT_S * fleet_lib.CLOCK_DRIFT_FACTOR
+)
 # Time that a worker may need to list a run that it starts in its reports.
 START_MARGIN_S = 0.3
 
--- a/fulmarrouter/cluster/run_log.py
+++ b/fulmarrouter/cluster/run_log.py
@@ -59,7 +59,7 @@
                 "tasks assigned",
                 index=index,
                 commit_ms=round(1000 * (now - planned_at)),
-                **_list_fields(texts),
+                **decision_log.list_fields(texts, MAX_TASKS_PER_LINE),
             )
 
     def on_ended(
@@ -88,7 +88,9 @@
                 )
         if texts:
             self._decisions.add(
-                "runs ended", index=index, **_list_fields(texts)
+                "runs ended",
+                index=index,
+                **decision_log.list_fields(texts, MAX_TASKS_PER_LINE),
             )
 
     def _log_late_success(
@@ -113,13 +115,6 @@
         )
 
 
-def _list_fields(texts: list[str]) -> dict[str, object]:
-    return {
-        "tasks": " ".join(texts[:MAX_TASKS_PER_LINE]),
-        "not_listed": max(0, len(texts) - MAX_TASKS_PER_LINE),
-    }
-
-
 def _is_constrained(state: state_lib.State, task: model.TaskId) -> bool:
     """Whether a task's step limits the workers on which it may run."""
     found = state.find_task(task)
--- a/fulmarrouter/cluster/stall_detection.py
+++ b/fulmarrouter/cluster/stall_detection.py
@@ -20,8 +20,6 @@
 # for this long.
 STARTUP_TIMEOUT_S = 4.0
 READY_PERCENT = 100  # Progress that a serving task reports once it is ready.
-
-
 # Time for which a run must have been observed to tell how long it goes on.
 MIN_MEASURED_S = 0.3
 
--- a/fulmarrouter/cluster/worker_log.py
+++ b/fulmarrouter/cluster/worker_log.py
@@ -5,6 +5,7 @@
 from fulmarrouter.cluster import decision_log
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import log_commands
+from fulmarrouter.cluster import model
 from fulmarrouter.cluster import state as state_lib
 
 # Limit on the runs in one line.
@@ -74,8 +75,7 @@
             "unassigned runs",
             worker=view.key.worker,
             incarnation=view.key.incarnation,
-            tasks=" ".join(texts[:MAX_RUNS_PER_LINE]),
-            not_listed=max(0, len(texts) - MAX_RUNS_PER_LINE),
+            **decision_log.list_fields(texts, MAX_RUNS_PER_LINE),
         )
 
 
@@ -132,10 +132,33 @@
         incarnation=view.key.incarnation,
         draining=view.report.draining,
         heard_ms=round(1000 * (now - view.first_heard_at)),
-        tasks=" ".join(
-            f"{end.task}/{end.run}" for end in ends[:MAX_RUNS_PER_LINE]
+        **decision_log.list_fields(
+            [f"{end.task}/{end.run}" for end in ends], MAX_RUNS_PER_LINE
         ),
-        not_listed=max(0, len(ends) - MAX_RUNS_PER_LINE),
+    )
+
+
+def log_evicted_runs(
+    decisions: decision_log.DecisionBuffer,
+    view: fleet_lib.WorkerView,
+    time_left_s: float,
+    tasks: Sequence[model.TaskId],
+) -> None:
+    """Logs the tasks whose runs are stopped before their worker leaves.
+
+    Args:
+        decisions: Receives the line.
+        view: The worker.
+        time_left_s: How long it still stays, as it has promised.
+        tasks: The tasks.
+    """
+    if not tasks:
+        return
+    decisions.add(
+        "runs evicted",
+        worker=view.key.worker,
+        time_left_ms=round(1000 * time_left_s),
+        **decision_log.list_fields(tasks, MAX_RUNS_PER_LINE),
     )
 
 
