--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -181,9 +181,10 @@
     return commands.KeeperAddress(keeper, f"host-{host_suffix or keeper}", 7000)
 
 
-def _leading_replica(
-    voters: str, learners: tuple[str, ...]
+def leading_replica(
+    voters: str, learners: tuple[str, ...] = ()
 ) -> consensus.Replica:
+    """Returns a leader; the first of the voters, which are separated by commas."""
     members = messages.Membership(
         tuple(_address(item) for item in voters.split(",")),
         tuple(_address(item) for item in learners),
@@ -205,15 +206,18 @@
     return replica
 
 
-def _acknowledge(replica: consensus.Replica, now: float, peer: str) -> None:
+def acknowledge(
+    replica: consensus.Replica, now: float, peer: str, index: int
+) -> None:
+    """Has a peer acknowledge the entries up to an index."""
     replica.step(
         now,
         peer,
         messages.AppendReply(
             term=replica.term,
             success=True,
-            match_index=replica.log.last_index,
-            prev_index=replica.log.last_index,
+            match_index=index,
+            prev_index=index,
             round=0,
             blank=False,
         ),
@@ -256,9 +260,9 @@
             reachable_peers = []
         case "b has come back and d votes in its place":
             pass
-    replica = _leading_replica(voters, learners)
+    replica = leading_replica(voters, learners)
     for peer in (*reachable_peers, *learners):
-        _acknowledge(replica, 14.0, peer)
+        acknowledge(replica, 14.0, peer, replica.log.last_index)
     context.membership = membership.next_membership(
         14.0, replica, candidates, 3
     )
--- a/features/steps/draining_steps.py
+++ b/features/steps/draining_steps.py
@@ -7,16 +7,12 @@
 from behave import when
 
 from features.steps import filling_steps
-from features.steps import leaving_workers_steps
+from features.steps import leaving_workers_steps as leaving
 from fulmarrouter import commands
 from fulmarrouter.cluster import dispatcher
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
 
-WORKER = leaving_workers_steps.WORKER
-OTHER = leaving_workers_steps.OTHER
-MILLICORES = leaving_workers_steps.MILLICORES
-TASK = leaving_workers_steps.TASK
 FIRST_SEEN_AT = 1.0
 DRAINS_AT = 2.0
 TURN_S = 0.1
@@ -37,12 +33,12 @@
 def _report(
     context: Any, now: float, percent: int, drain_s: float | None
 ) -> requests.Orders:
-    running = (requests.ActiveRun(TASK, 1, "c1", percent, 1000),)
+    running = (requests.ActiveRun(leaving.TASK, 1, "c1", percent, 1000),)
     harness: filling_steps.DispatcherHarness = context.harness
     return harness.report(
         now,
-        WORKER,
-        MILLICORES,
+        leaving.WORKER,
+        leaving.MILLICORES,
         running,
         draining=drain_s is not None,
         drain_time_left_ms=round(1000 * (drain_s or 0.0)),
@@ -52,10 +48,10 @@
 @given("a worker that runs a {kind} at 10 %")
 def step_running(context: Any, kind: str) -> None:
     harness = context.harness = filling_steps.DispatcherHarness()
-    harness.report(0.0, WORKER, MILLICORES)
+    harness.report(0.0, leaving.WORKER, leaving.MILLICORES)
     harness.submit("job", _step(kind))
     assert harness.plan(0.1)
-    assert harness.report(0.2, WORKER, MILLICORES).starts
+    assert harness.report(0.2, leaving.WORKER, leaving.MILLICORES).starts
     _report(context, FIRST_SEEN_AT, 10, None)
 
 
@@ -85,14 +81,22 @@
 
 @then("its run {event}")
 def step_event(context: Any, event: str) -> None:
-    expected = (requests.StopOrder(TASK, 1),) if event == "is stopped" else ()
+    expected = (
+        (requests.StopOrder(leaving.TASK, 1),) if event == "is stopped" else ()
+    )
     assert context.orders.stops == expected, context.orders
 
 
 def _list_end(context: Any) -> None:
-    ended = (requests.EndedRun(1, TASK, 1, model.Outcome.STOPPED, "c2"),)
+    ended = (
+        requests.EndedRun(1, leaving.TASK, 1, model.Outcome.STOPPED, "c2"),
+    )
     context.harness.report(
-        DRAINS_AT + 0.3, WORKER, MILLICORES, ended=ended, draining=True
+        DRAINS_AT + 0.3,
+        leaving.WORKER,
+        leaving.MILLICORES,
+        ended=ended,
+        draining=True,
     )
 
 
@@ -113,7 +117,7 @@
 
 @when("the worker leaves and nothing is listed")
 def step_leaves(context: Any) -> None:
-    leaving_workers_steps.send_leave(context.harness, 0)
+    leaving.send_leave(context.harness, 0)
 
 
 @then(
@@ -128,7 +132,7 @@
         for command in harness.dispatcher.expire(now, harness.state):
             harness.commit(command)
         harness.plan(now)
-        starts = harness.report(now, OTHER, MILLICORES).starts
+        starts = harness.report(now, leaving.OTHER, leaving.MILLICORES).starts
         now = round(now + TURN_S, 1)
     assert [start.checkpoint for start in starts] == [checkpoint], starts
     assert abs(now - TURN_S - seconds) < 1.5 * TURN_S, now - TURN_S
@@ -141,5 +145,5 @@
         for decision in context.harness.decision_buffer.take()
         if decision.event == "runs evicted"
     ]
-    assert fields["tasks"] == TASK, fields
+    assert fields["tasks"] == leaving.TASK, fields
     assert fields["time_left_ms"] == left, fields
--- a/features/steps/late_reports_steps.py
+++ b/features/steps/late_reports_steps.py
@@ -7,15 +7,11 @@
 from behave import when
 
 from features.steps import filling_steps
-from features.steps import leaving_workers_steps
+from features.steps import leaving_workers_steps as leaving
 from fulmarrouter import commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
 
-WORKER = leaving_workers_steps.WORKER
-OTHER = leaving_workers_steps.OTHER
-MILLICORES = leaving_workers_steps.MILLICORES
-TASK = leaving_workers_steps.TASK
 INTERVAL_S = 0.4
 # Long enough for a slow clock to be behind by more than an answer may be late.
 REPORTS = 300
@@ -24,11 +20,15 @@
 
 
 def _report(context: Any, sent_at: float, late_s: float) -> requests.Orders:
-    running = (requests.ActiveRun(TASK, 1, "", 100, 1000),)
+    running = (requests.ActiveRun(leaving.TASK, 1, "", 100, 1000),)
     clock_ms = int(1000 * sent_at * context.clock_rate)
     harness: filling_steps.DispatcherHarness = context.harness
     return harness.report(
-        sent_at + late_s, WORKER, MILLICORES, running, clock_ms=clock_ms
+        sent_at + late_s,
+        leaving.WORKER,
+        leaving.MILLICORES,
+        running,
+        clock_ms=clock_ms,
     )
 
 
@@ -37,11 +37,11 @@
     """A rate of 0 stands for reports without a clock."""
     context.clock_rate = rate
     harness = context.harness = filling_steps.DispatcherHarness()
-    harness.report(0.0, WORKER, MILLICORES)
+    harness.report(0.0, leaving.WORKER, leaving.MILLICORES)
     needs = commands.Resources(1000, 10, 0)
     harness.submit("job", model.StepSpec(1, needs, runs_until_cancelled=True))
     assert harness.plan(0.1)
-    assert harness.report(0.2, WORKER, MILLICORES).starts
+    assert harness.report(0.2, leaving.WORKER, leaving.MILLICORES).starts
     for number in range(1, REPORTS + 1):
         context.now = number * INTERVAL_S
         assert _report(context, context.now, 0.0).lease_ms, context.now
@@ -64,7 +64,9 @@
         for command in harness.dispatcher.expire(context.now, harness.state):
             harness.commit(command)
         harness.plan(context.now)
-        context.starts = harness.report(context.now, OTHER, MILLICORES).starts
+        context.starts = harness.report(
+            context.now, leaving.OTHER, leaving.MILLICORES
+        ).starts
 
 
 @then(
--- a/features/steps/log_sizes_steps.py
+++ b/features/steps/log_sizes_steps.py
@@ -1,16 +1,14 @@
 """Steps on the size of the log between two snapshots."""
 
-import random
 from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
 
-from fulmarrouter import commands
+from features.steps import cluster_steps
 from fulmarrouter import consensus
 from fulmarrouter import messages
-from fulmarrouter import raft_log
 from fulmarrouter.cluster import controller
 from fulmarrouter.cluster import dispatcher
 from fulmarrouter.cluster import log_commands
@@ -21,29 +19,9 @@
 NOW = 10.0
 
 
-def _address(name: str) -> commands.KeeperAddress:
-    return commands.KeeperAddress(name, "127.0.0.1", 1)
-
-
-def _leader(peers: tuple[str, ...]) -> consensus.Replica:
-    voters = tuple(_address(name) for name in ("k1", *peers))
-    snapshot = raft_log.SnapshotData(1, 1, messages.Membership(voters), b"")
-    saved = consensus.PersistentState(consensus.HardState(), snapshot, ())
-    replica = consensus.Replica(
-        "k1", saved, consensus.Timing(), random.Random(1), 0.0
-    )
-    replica.tick(NOW)
-    for is_pre_vote in (True, False):
-        for peer in peers:
-            vote = messages.VoteReply(1, granted=True, pre=is_pre_vote)
-            replica.step(NOW, peer, vote)
-    assert replica.is_leader
-    return replica
-
-
 @given("a keeper that leads alone")
 def step_lone_leader(context: Any) -> None:
-    replica = _leader(())
+    replica = cluster_steps.leading_replica("a")
     context.keeper = controller.Controller(
         replica,
         controller.ControllerSettings(1, 8080),
@@ -96,14 +74,14 @@
 
 # What is sent ahead.
 
-PEER = "k2"
+PEER = "b"
 
 
 @given(
     "a leader with {entries:d} entries of {kilobytes:d} KB that a peer lacks"
 )
 def step_leader_ahead(context: Any, entries: int, kilobytes: int) -> None:
-    replica = context.replica = _leader((PEER, "k3"))
+    replica = context.replica = cluster_steps.leading_replica(f"a,{PEER},c")
     for _ in range(entries):
         replica.propose(b"x" * (kilobytes * KILOBYTE))
     # What was sent until now had no entries, or the first ones as a probe.
@@ -111,18 +89,6 @@
     replica.take_output()
 
 
-def _acknowledge(replica: consensus.Replica, now: float, index: int) -> None:
-    reply = messages.AppendReply(
-        term=replica.term,
-        success=True,
-        match_index=index,
-        prev_index=index,
-        round=0,
-        blank=False,
-    )
-    replica.step(now, PEER, reply)
-
-
 def _take_sent(replica: consensus.Replica) -> list[messages.Entry]:
     return [
         entry
@@ -135,7 +101,7 @@
 @when("the peer has acknowledged the first entry and is sent more for 10 s")
 def step_send_ahead(context: Any) -> None:
     replica = context.replica
-    _acknowledge(replica, NOW, 2)
+    cluster_steps.acknowledge(replica, NOW, PEER, 2)
     sent = _take_sent(replica)
     for tenth in range(1, 101):
         now = NOW + tenth / 10
@@ -155,7 +121,7 @@
     replica = context.replica
     context.held_index = 2
     for _ in range(10_000):
-        _acknowledge(replica, NOW, context.held_index)
+        cluster_steps.acknowledge(replica, NOW, PEER, context.held_index)
         replica.flush(NOW)
         sent = _take_sent(replica)
         if not sent:
