--- a/review/support_3/worker.py
+++ b/review/support_3/worker.py
@@ -10,6 +10,11 @@
 from support_3 import deployment
 
 MAX_HOLD_S = 10.0
+# Ends that one heartbeat lists.
+MAX_LISTED_ENDS = 500
+# For how long a worker that shuts down stays at least, and how long it does.
+DRAIN_S = 2.0
+STAYS_S = 3.0
 ANSWER_TIMEOUT_S = 1.0
 STOP_S = 0.1
 AFTER_END_S = 0.05
@@ -33,7 +38,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Event:
-    """The start of a run, or its end."""
+    """The start of a run, its end, or that the end was taken note of."""
 
     at: float
     worker: str
@@ -56,6 +61,10 @@
             self.events.append(Event(time.monotonic(), worker, task, run, kind))
             self._record.add(f"worker {worker}: {task} run {run} {kind}")
 
+    def note(self, text: str) -> None:
+        """Records something else."""
+        self._record.add(text)
+
     def of(self, prefix: str) -> list[Event]:
         """Returns the events of the tasks whose names begin so."""
         with self.lock:
@@ -114,6 +123,7 @@
         self._report_address = ""
         self._address_index = sum(name.encode()) % len(controls)
         self._closed_run_by_task: dict[str, int] = {}
+        self._drain_started_at = LASTS
         self._ends: list[list[Any]] = []
         self._last_end = 0
         self._lock = threading.RLock()
@@ -125,6 +135,12 @@
         """Ends the worker."""
         self._halted.set()
 
+    def drain(self) -> None:
+        """Begins a planned shutdown."""
+        with self._lock:
+            self._drain_started_at = time.monotonic()
+            self._has_end.set()
+
     def fail(self, task: str) -> bool:
         """Lets a run fail; returns whether there was one."""
         with self._lock:
@@ -151,6 +167,11 @@
                 else:
                     percent = min(99, int(100 * ran_s / run.duration_s))
                 running.append([task, run.number, "", percent, 10])
+            drained_s = now - self._drain_started_at
+            draining = {}
+            if drained_s >= 0:
+                left_ms = max(0, int((DRAIN_S - drained_s) * 1000))
+                draining = {"state": "draining", "drain_remaining_ms": left_ms}
             return {
                 "service": self._service,
                 "address": "127.0.0.1:9",
@@ -166,7 +187,8 @@
                 "sequence": self._sequence,
                 "born": self._born,
                 "running": running,
-                "ended": [list(item) for item in self._ends[:500]],
+                "ended": [list(item) for item in self._ends[:MAX_LISTED_ENDS]],
+                **draining,
             }
 
     def _end(self, task: str, number: int, how: str) -> None:
@@ -193,6 +215,9 @@
             now = time.monotonic()
             with self._lock:
                 self._advance(now)
+            if now - self._drain_started_at >= STAYS_S:
+                self._leave()
+                return
             if self._has_end.is_set():
                 self._has_end.clear()
                 next_at = min(next_at, now + AFTER_END_S)
@@ -201,6 +226,14 @@
                 continue
             next_at = now + self._report_once()
 
+    def _leave(self) -> None:
+        address = self._report_address or self._controls[0]
+        body = {"born": self._born}
+        path = f"/api/instances/{self.name}/leave"
+        status, _, _ = deployment.call(address, "POST", path, body, 1.0)
+        self._history.note(f"worker {self.name} leaves: {status}")
+        self._halted.set()
+
     def _report_once(self) -> float:
         """Sends a heartbeat; returns the seconds until the next one."""
         index = self._address_index % len(self._controls)
@@ -231,6 +264,9 @@
             return interval_s
         self._token = token
         acknowledged = orders.get("ack_seq", 0)
+        for number, task, run_number, *_ in self._ends:
+            if number <= acknowledged:
+                self._history.add(self.name, task, run_number, "noted")
         self._ends = [item for item in self._ends if item[0] > acknowledged]
         for task, number in orders.get("stop", []):
             run = self.run_by_task.get(task)
