--- a/review/11/case.py
+++ b/review/11/case.py
@@ -9,8 +9,8 @@
 from support_3 import worker
 
 # Both on one host. The longest prefix with which a path begins selects the route.
-WIDE_PREFIX = "/"
-NARROW_PREFIX = "/lohu9.30/"
+WIDE_PREFIX = "/lohu930/"
+NARROW_PREFIX = "/lohu930/v1.2/"
 BEFORE = "00000000000000a0"
 LATE = "00000000000000a1"
 AFTER = "00000000000000a2"
