--- a/review/12/case.py
+++ b/review/12/case.py
@@ -9,7 +9,7 @@
 
 PREFIX = "/lohu930/"
 JOB = "00000000000000d1"
-WORKERS = 2
+WORKERS = 16
 CAPACITY = 64_000
 NEED = 50
 COUNT = 1_600
