--- a/fulmarrouter/cluster/load_summary.py
+++ b/fulmarrouter/cluster/load_summary.py
@@ -71,6 +71,8 @@
         spec = state.spec_of(oldest)
         queue = state.job_by_id[oldest.job].queue
         fields["oldest_waiting"] = ".".join(str(part) for part in oldest)
+        fields["oldest_queue"] = queue.name
+        fields["oldest_service"] = queue.service
         fields["oldest_asks_cores"] = spec.needs.millicores // 1000
         fields["oldest_tasks"] = state.open_steps[oldest].waiting_count
         fields["oldest_max_per_worker"] = spec.max_per_worker
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -299,6 +299,11 @@
         try:
             while not self._stop_requested and not self._check_drained():
                 self._run_iteration()
+        except Exception as error:
+            self.log.exception(
+                "node failed", notes=getattr(error, "__notes__", [])
+            )
+            raise
         finally:
             self.log.info("node stopped", node=self.settings.name)
             for server in self._servers:
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -196,7 +196,11 @@
                 )
         checks = 0
         for key in self._order_steps(now, state, keys):
-            found, checked = self._place_step(now, state, key)
+            try:
+                found, checked = self._place_step(now, state, key)
+            except Exception as error:
+                error.add_note(f"while placing {key}")
+                raise
             assignments += found
             checks += checked
             if (
--- a/fulmarrouter/cluster/worker_log.py
+++ b/fulmarrouter/cluster/worker_log.py
@@ -132,6 +132,7 @@
         incarnation=view.key.incarnation,
         draining=view.report.draining,
         heard_ms=round(1000 * (now - view.first_heard_at)),
+        ends_listed=len(view.report.ended),
         **decision_log.list_fields(
             [f"{end.task}/{end.run}" for end in ends], MAX_RUNS_PER_LINE
         ),
