Take only an ID for the name of a job, and end stored jobs with other names

What callers saw: once a queue had been removed whose prefix begins with that of another queue, a job that was sent to it was answered 200, and from then on most requests 503, 504 or nothing.

Cause: whatever followed the longest matching prefix was taken for a job's ID. IDs of tasks are joined with dots, so those of a job whose name has a dot can't be read back, and reserving a worker for one failed an assertion. The job is in the log, so each process that led ended in the same way, also after a restart.

Now a path that continues after the prefix with anything but an ID belongs to no queue, and is answered 404 for each method. Which names are IDs is checked where the path is resolved, on the leader: processes of another version may forward what they don't check.

A stored job whose task IDs can't be read back is never opened for placing, and a new leader cancels it with a command of the log. Earlier versions apply that like this one, and become healthy with it. Its tasks aren't run: earlier replicas would ignore their assignments. Reservations are found by their task, so that an assignment in the log can't fail there.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -247,14 +247,22 @@
 
 @given("{disks:d} processes of a cluster with disks and {others:d} without")
 def step_start_processes(context: Any, disks: int, others: int) -> None:
+    folders = [pathlib.Path(tempfile.mkdtemp()) for _ in range(disks)]
+    start_processes(context, [*folders, *[None] * others], disks)
+
+
+def start_processes(
+    context: Any, folders: list[pathlib.Path | None], disks: int
+) -> None:
+    """Starts a process for each data folder, or None for one without a disk.
+
+    The first ones, as many as there are disks, are the seeds. The last one has no
+    disk.
+    """
     seeds = [f"127.0.1.{number}" for number in range(1, disks + 1)]
     context.processes = [
-        Process(
-            number,
-            seeds,
-            pathlib.Path(tempfile.mkdtemp()) if number <= disks else None,
-        )
-        for number in range(1, disks + others + 1)
+        Process(number, seeds, folder)
+        for number, folder in enumerate(folders, start=1)
     ]
     context.add_cleanup(stop_processes, context.processes)
     context.diskless_process = context.processes[-1]
--- a/features/steps/reporting_steps.py
+++ b/features/steps/reporting_steps.py
@@ -1,5 +1,6 @@
 """Steps on when and where workers report, and when reports are answered."""
 
+from collections.abc import Sequence
 import dataclasses
 import random
 from typing import Any
@@ -23,6 +24,7 @@
 from fulmarrouter.cluster import report_relays
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import state as state_lib
 
 TURN_S = 0.005
 CONTROL_PORT = 8166
@@ -102,23 +104,47 @@
 
 
 class SingleVoterLeader:
-    """A controller that leads as the only voter, on a disk that never fails."""
+    """A controller that leads as the only voter, on a disk that never fails.
 
-    def __init__(self) -> None:
+    Args:
+        commands_in_log: Committed commands that its log holds when it starts.
+        state: The state in its snapshot.
+        job_id_hex_digits: As in the settings of a controller.
+    """
+
+    def __init__(
+        self,
+        commands_in_log: Sequence[log_commands.AnyCommand] = (),
+        state: state_lib.State | None = None,
+        job_id_hex_digits: int = 0,
+    ) -> None:
         member = commands.KeeperAddress("k", "10.0.0.1", 7720)
         saved = consensus.PersistentState(
             consensus.HardState(),
             raft_log.SnapshotData(
-                1, 1, messages.Membership(voters=(member,)), b""
+                1,
+                1,
+                messages.Membership(voters=(member,)),
+                state.encode() if state is not None else b"",
+            ),
+            tuple(
+                messages.Entry(
+                    index,
+                    1,
+                    messages.EntryKind.COMMAND,
+                    log_commands.encode(command),
+                )
+                for index, command in enumerate(commands_in_log, start=2)
             ),
-            (),
         )
         replica = consensus.Replica(
             "k", saved, consensus.Timing(), random.Random(1), 0.0
         )
         self.controller = controller_lib.Controller(
             replica,
-            controller_lib.ControllerSettings(1, CONTROL_PORT),
+            controller_lib.ControllerSettings(
+                1, CONTROL_PORT, job_id_hex_digits=job_id_hex_digits
+            ),
             dispatcher.DispatchSettings(),
         )
         self.now = 10.0
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -53,6 +53,8 @@
         wanted_voters: Number of keepers that are to vote.
         control_port: Port of the interface that workers report to, the same
             on all VMs.
+        job_id_hex_digits: Number of hexadecimal digits of a job's ID; 0 if that
+            isn't prescribed.
         direct_workers: Largest number of workers whose reports all go straight
             to the leader; with more, the other keepers relay them.
     """
@@ -60,6 +62,7 @@
     wanted_voters: int
     control_port: int
     direct_workers: int = 48
+    job_id_hex_digits: int = 0
 
 
 class Controller:
@@ -86,6 +89,7 @@
         self._elected_term = 0
         self._is_active_leader = False
         self._active_since = 0.0
+        self._has_ended_unreadable_jobs = False
         self._read_index_queue: read_index.ReadIndexQueue[
             requests.AnyRequest
         ] = read_index.ReadIndexQueue(replica)
@@ -201,9 +205,7 @@
         client: Client,
         request: requests.SubmitJob,
     ) -> None:
-        target = job_requests.resolve_path(
-            self.state.configuration, request.host, request.path
-        )
+        target = self._resolve(request)
         if isinstance(target, job_requests.Unresolved) or target.job is None:
             self._read_index_queue.add(now, client, request)
             return
@@ -231,14 +233,22 @@
     def _on_cancel(
         self, now: float, client: Client, request: requests.CancelJob
     ) -> None:
-        target = job_requests.resolve_path(
-            self.state.configuration, request.host, request.path
-        )
+        target = self._resolve(request)
         index = 0
         if isinstance(target, job_requests.Target) and target.job is not None:
             index = self._propose(log_commands.CancelJob(target.job))
         self._read_index_queue.add(now, client, request, index)
 
+    def _resolve(
+        self, request: requests.SubmitJob | requests.CancelJob
+    ) -> job_requests.Target | job_requests.Unresolved:
+        return job_requests.resolve_path(
+            self.state.configuration,
+            request.host,
+            request.path,
+            self._settings.job_id_hex_digits,
+        )
+
     def _propose(self, command: log_commands.AnyCommand) -> int:
         """Proposes a command as the leader; returns its log index."""
         index = self.replica.propose(log_commands.encode(command))
@@ -294,6 +304,9 @@
         if now >= self._membership_due:
             self._membership_due = now + 0.1
             self._reconcile_members(now)
+        if not self._has_ended_unreadable_jobs:
+            self._has_ended_unreadable_jobs = True
+            self._propose_all(job_requests.cancel_unreadable_jobs(self.state))
         if not self.state.is_open:
             return
         self._propose_all(self.dispatcher.expire(now, self.state))
@@ -365,6 +378,7 @@
         """
         self._is_active_leader = False
         self._elected_term = 0
+        self._has_ended_unreadable_jobs = False
         for item in self._read_index_queue.take_all():
             if item.proposed_index:
                 code = codes.Code.PROPOSAL_UNKNOWN
@@ -515,7 +529,10 @@
                 | requests.ShowTarget()
             ):
                 return job_requests.reply_from_state(
-                    self.state, self.dispatcher.fleet, item.request
+                    self.state,
+                    self.dispatcher.fleet,
+                    item.request,
+                    self._settings.job_id_hex_digits,
                 )
             case _:
                 return requests.Refused(codes.Code.INVALID)
--- a/fulmarrouter/cluster/controller_setup.py
+++ b/fulmarrouter/cluster/controller_setup.py
@@ -45,6 +45,7 @@
             wanted_voters=settings.tolerated_losses.voter_count(),
             control_port=addresses.port_of(settings.control),
             direct_workers=settings.direct_workers,
+            job_id_hex_digits=settings.job_id_hex_digits,
         ),
         dispatcher.DispatchSettings(
             lease_s=min(WORKER_LEASE_S, settings.max_worker_lease_ms / 1000),
--- a/fulmarrouter/cluster/job_requests.py
+++ b/fulmarrouter/cluster/job_requests.py
@@ -21,6 +21,7 @@
 
     NO_CONFIGURATION = "no_configuration"
     NO_SUCH_QUEUE = "no_such_queue"
+    NO_JOB_ID = "no_job_id"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,9 +33,24 @@
 
 
 def resolve_path(
-    configuration: model.Configuration | None, host: str, path: str
+    configuration: model.Configuration | None,
+    host: str,
+    path: str,
+    job_id_hex_digits: int = 0,
 ) -> Target | Unresolved:
-    """Finds the queue of a host with the longest matching path prefix."""
+    """Finds the queue of a host with the longest matching path prefix.
+
+    What follows the prefix is empty or a job's ID. Any other path belongs to a
+    queue that doesn't exist: the queue may have been removed, and the prefix is
+    that of another one.
+
+    Args:
+        configuration: The current configuration.
+        host: The host that the caller has named.
+        path: The path of the request.
+        job_id_hex_digits: Number of hexadecimal digits of a job's ID; 0 if that
+            isn't prescribed.
+    """
     if configuration is None:
         return Unresolved.NO_CONFIGURATION
     longest_match: model.Queue | None = None
@@ -48,7 +64,11 @@
     if longest_match is None:
         return Unresolved.NO_SUCH_QUEUE
     job_name = path[len(longest_match.path_prefix) :]
-    return Target(longest_match, model.JobId(job_name) if job_name else None)
+    if not job_name:
+        return Target(longest_match, None)
+    if not model.is_job_id(job_name, job_id_hex_digits):
+        return Unresolved.NO_JOB_ID
+    return Target(longest_match, model.JobId(job_name))
 
 
 _REFUSAL_BY_REASON = {
@@ -56,6 +76,9 @@
         codes.Code.NO_CONFIGURATION, retry_after_ms=1000
     ),
     Unresolved.NO_SUCH_QUEUE: requests.Refused(codes.Code.NO_SUCH_QUEUE),
+    Unresolved.NO_JOB_ID: requests.Refused(
+        codes.Code.NO_SUCH_QUEUE, "what follows the prefix is no job's ID"
+    ),
 }
 
 
@@ -63,9 +86,12 @@
     state: state_lib.State,
     fleet: fleet_lib.Fleet,
     request: requests.SubmitJob | requests.CancelJob | requests.ShowTarget,
+    job_id_hex_digits: int = 0,
 ) -> requests.AnyReply:
     """Builds the reply to a caller for whom nothing has been proposed."""
-    target = resolve_path(state.configuration, request.host, request.path)
+    target = resolve_path(
+        state.configuration, request.host, request.path, job_id_hex_digits
+    )
     if isinstance(target, Unresolved):
         return _REFUSAL_BY_REASON[target]
     if target.job is None:
@@ -96,6 +122,22 @@
     return requests.Accepted()
 
 
+def cancel_unreadable_jobs(
+    state: state_lib.State,
+) -> list[log_commands.AnyCommand]:
+    """Returns commands that end the jobs whose tasks can never run.
+
+    An earlier version may have accepted jobs whose task IDs can't be read back. A
+    process of that version ends when it places one as the leader, and applies these
+    commands like this one.
+    """
+    return [
+        log_commands.CancelJob(job.id)
+        for job in state.job_by_id.values()
+        if job.is_active and not model.has_readable_task_ids(job.id)
+    ]
+
+
 def commands_for_due_occurrences(
     state: state_lib.State, wall_ms: int
 ) -> list[log_commands.AnyCommand]:
--- a/fulmarrouter/cluster/model.py
+++ b/fulmarrouter/cluster/model.py
@@ -1,6 +1,7 @@
 """Jobs as callers submit them, and queues as operators configure them."""
 
 import enum
+import re
 from typing import NewType
 
 import msgspec
@@ -13,6 +14,12 @@
 QueueName = NewType("QueueName", str)
 ServiceName = NewType("ServiceName", str)
 
+# Separates the parts of a task's ID.
+TASK_ID_SEPARATOR = "."
+# IDs of jobs where the settings don't prescribe a number of hexadecimal digits.
+_ANY_JOB_ID = re.compile(r"[A-Za-z0-9_-]{1,128}")
+_HEX_DIGITS = re.compile(r"[0-9A-Fa-f]+")
+
 
 class StepSpec(msgspec.Struct, frozen=True, array_like=True):
     """A step of a job: a number of identical tasks.
@@ -163,16 +170,38 @@
     REFUSED = 6
 
 
+def is_job_id(name: str, hex_digits: int = 0) -> bool:
+    """Whether a caller may give a job this name.
+
+    Args:
+        name: The name.
+        hex_digits: Number of hexadecimal digits of each ID; with 0, an ID is any
+            name of at most 128 letters, digits, hyphens and underscores.
+    """
+    if not hex_digits:
+        return _ANY_JOB_ID.fullmatch(name) is not None
+    return len(name) == hex_digits and bool(_HEX_DIGITS.fullmatch(name))
+
+
+def has_readable_task_ids(job: JobId) -> bool:
+    """Whether `parse_task_id` can read the IDs of a job's tasks.
+
+    Logs of earlier versions may hold jobs of which it can't.
+    """
+    return TASK_ID_SEPARATOR not in job
+
+
 def format_task_id(
     job: JobId, occurrence: int, step: int, index: int
 ) -> TaskId:
     """Builds the ID of a task from its parts."""
-    return TaskId(f"{job}.{occurrence}.{step}.{index}")
+    parts = (job, str(occurrence), str(step), str(index))
+    return TaskId(TASK_ID_SEPARATOR.join(parts))
 
 
 def parse_task_id(task: TaskId) -> tuple[JobId, int, int, int] | None:
     """Returns the parts of a task ID, or None if it is malformed."""
-    parts = task.split(".")
+    parts = task.split(TASK_ID_SEPARATOR)
     if len(parts) != 4:
         return None
     try:
--- a/fulmarrouter/cluster/reservations.py
+++ b/fulmarrouter/cluster/reservations.py
@@ -47,12 +47,14 @@
         self._by_task_by_worker: dict[
             model.WorkerId, dict[model.TaskId, Reservation]
         ] = {}
+        self._by_task: dict[model.TaskId, Reservation] = {}
         self._moving: dict[model.TaskId, Reservation] = {}
 
     def add(self, reservation: Reservation) -> None:
         """Adds the reservation of a task, in place of an earlier one."""
         self.remove(reservation.task)
         key, index = _locate(reservation.task)
+        self._by_task[reservation.task] = reservation
         self._by_index_by_step.setdefault(key, {})[index] = reservation
         self._by_task_by_worker.setdefault(reservation.worker, {})[
             reservation.task
@@ -63,12 +65,13 @@
 
     def remove(self, task: model.TaskId) -> None:
         """Drops the reservation of a task, if it has one."""
-        self._moving.pop(task, None)
-        key, index = _locate(task)
-        by_index = self._by_index_by_step.get(key, {})
-        reservation = by_index.pop(index, None)
+        reservation = self._by_task.pop(task, None)
         if reservation is None:
             return
+        self._moving.pop(task, None)
+        key, index = _locate(task)
+        by_index = self._by_index_by_step[key]
+        del by_index[index]
         if not by_index:
             del self._by_index_by_step[key]
         by_task = self._by_task_by_worker[reservation.worker]
@@ -106,6 +109,7 @@
 
 def _locate(task: model.TaskId) -> tuple[state_lib.StepKey, int]:
     parts = model.parse_task_id(task)
+    # Only tasks of open steps and of runs in the state are reserved.
     assert parts is not None
     job, occurrence, step, index = parts
     return state_lib.StepKey(job, occurrence, step), index
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -141,7 +141,8 @@
     Attributes:
         configuration: The newest configuration, None until there is one.
         is_open: Whether callers are served.
-        open_steps: Steps with waiting tasks that depend on no unfinished step.
+        open_steps: Steps with waiting tasks that depend on no unfinished step. None
+            of a job whose task IDs can't be read back.
         runs_by_worker: Run number of each assigned task, by the incarnation of
             the worker.
         changed_workers: Workers whose assigned runs have changed since the
@@ -378,6 +379,8 @@
 
 
 def _is_ready(job: Job, key: StepKey) -> bool:
+    if not model.has_readable_task_ids(job.id):
+        return False
     steps = job.steps_by_occurrence[key.occurrence]
     return all(
         steps[number].is_done for number in job.spec.steps[key.step].after
--- a/fulmarrouter/settings.py
+++ b/fulmarrouter/settings.py
@@ -199,6 +199,8 @@
         reports_per_s: Target number of reports that workers send the leader
             per second, besides the reports of tasks that have ended.
         link_mbps: Rate of the VM's link in Mbit/s, 0 if it is unknown.
+        job_id_hex_digits: Number of hexadecimal digits of each job's ID; with 0,
+            an ID is any name of letters, digits, hyphens and underscores.
     """
 
     role: Role
@@ -222,6 +224,7 @@
     direct_workers: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 48
     reports_per_s: Annotated[int, msgspec.Meta(ge=10, le=100_000)] = 500
     link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 0.0
+    job_id_hex_digits: Annotated[int, msgspec.Meta(ge=0, le=128)] = 0
     election: Election = Election()
 
 
