Set a job aside whose handling fails on a leader, and skip a duty that fails

The planner sets a job aside for the leader's term if ranking, placing or moving its tasks raises; what it had reserved is released. Each duty of the leader that raises is skipped until it is due again, and a request that raises, when it is read or when it is answered, is answered PROPOSAL_UNKNOWN. Each is logged and counted with the exception and where it was raised: 'job set aside', 'duty failed', 'request failed'. Applying an entry to the state isn't guarded, since replicas must stay alike.

The simulated keepers and the leader of the tests fail if one of these lines appears, so that the guards hide nothing from histories and fuzzing.

--- a/features/job_ids.feature
+++ b/features/job_ids.feature
@@ -8,7 +8,7 @@
   Scenario Outline: The queues are <queues>, and the path <path> is sent to <request> a job
     Given a leader whose jobs have IDs of 16 hexadecimal digits, and the queues <queues>
     When the path <path> is sent to <request> a job
-    Then the caller is answered <answer>
+    Then that is answered <answer>
 
     Examples: A queue beside one whose prefix begins with its own
       | queues       | request | path                      | answer        |
@@ -56,7 +56,7 @@
     When the path /a/v1.2/00000000000000a1 is sent to submit a job
     And the queues are changed to <queues>
     And the path <path> is sent to show a job
-    Then the caller is answered <answer>
+    Then that is answered <answer>
 
     Examples:
       | change           | queues           | path                     | answer        |
@@ -67,7 +67,7 @@
   Scenario Outline: Where the settings prescribe no digits, the name <name> is answered <answer>
     Given a leader whose jobs have IDs of 0 hexadecimal digits, and the queues /a/
     When the path /a/<name> is sent to submit a job
-    Then the caller is answered <answer>
+    Then that is answered <answer>
 
     Examples:
       | name      | answer        |
--- a/features/steps/job_ids_steps.py
+++ b/features/steps/job_ids_steps.py
@@ -95,7 +95,7 @@
     _send(context, REQUEST_BY_VERB[verb](*_split(location)))
 
 
-@then("the caller is answered {answer:w}")
+@then("that is answered {answer:w}")
 def step_answer(context: Any, answer: str) -> None:
     (reply,) = context.replies
     if isinstance(reply, requests.Refused):
--- a/features/steps/reporting_steps.py
+++ b/features/steps/reporting_steps.py
@@ -11,6 +11,7 @@
 from behave import when
 
 from features.steps import filling_steps
+from features.support import leader_checks
 from fulmarrouter import commands
 from fulmarrouter import consensus
 from fulmarrouter import ids
@@ -110,6 +111,7 @@
         commands_in_log: Committed commands that its log holds when it starts.
         state: The state in its snapshot.
         job_id_hex_digits: As in the settings of a controller.
+        fails: Whether something is made to fail on it.
     """
 
     def __init__(
@@ -117,7 +119,9 @@
         commands_in_log: Sequence[log_commands.AnyCommand] = (),
         state: state_lib.State | None = None,
         job_id_hex_digits: int = 0,
+        fails: bool = False,
     ) -> None:
+        self._fails = fails
         member = commands.KeeperAddress("k", "10.0.0.1", 7720)
         saved = consensus.PersistentState(
             consensus.HardState(),
@@ -166,9 +170,12 @@
         self.now += TURN_S
         self.controller.tick(self.now, 0)
         self.controller.replica.take_output()
-        return self.controller.apply_committed(
+        answered = self.controller.apply_committed(
             self.now, 0, self.controller.replica.log.last_index
         )
+        if not self._fails:
+            leader_checks.check(self.controller)
+        return answered
 
     def report(
         self,
--- a/features/support/simulated_keepers.py
+++ b/features/support/simulated_keepers.py
@@ -10,6 +10,7 @@
 import random
 from typing import Any
 
+from features.support import leader_checks
 from features.support import simulated_processes
 from fulmarrouter import consensus
 from fulmarrouter import ids
@@ -206,7 +207,10 @@
                 self._send_message(host, outbound)
             if term == controller.replica.term:
                 durable = last_index
-        for answered in controller.apply_committed(self.now, wall, durable):
+        applied = controller.apply_committed(self.now, wall, durable)
+        leader_checks.check(controller)
+        controller.decisions.take()
+        for answered in applied:
             self._send_reply(host, answered)
 
     def _send_join(
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -4,6 +4,7 @@
 output, sends its messages, and returns the replies to the requests' clients.
 """
 
+from collections.abc import Callable
 import dataclasses
 
 import msgspec
@@ -17,6 +18,7 @@
 from fulmarrouter.cluster import admission
 from fulmarrouter.cluster import decision_log
 from fulmarrouter.cluster import dispatcher as dispatcher_lib
+from fulmarrouter.cluster import failures
 from fulmarrouter.cluster import job_requests
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import membership
@@ -24,6 +26,7 @@
 from fulmarrouter.cluster import report_relays
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import result_log
 from fulmarrouter.cluster import run_log
 from fulmarrouter.cluster import state as state_lib
 
@@ -36,9 +39,6 @@
 # How long a leader waits for the wanted number of voters before it opens the
 # service with fewer, since the deployment may have fewer disks.
 OPEN_TIMEOUT_S = 5.0
-# A keeper that has not answered the leader for longer than this is not used as
-# a relay of workers' reports.
-RELAY_MAX_SILENCE_S = 0.5
 
 
 Client = read_index.Client
@@ -135,6 +135,18 @@
         request: requests.AnyRequest,
     ) -> None:
         """Handles a request that only the leader can answer."""
+        try:
+            self._handle_request(now, wall_ms, client, request)
+        except Exception as error:
+            self._answer_failed(client, request, error)
+
+    def _handle_request(
+        self,
+        now: float,
+        wall_ms: int,
+        client: Client,
+        request: requests.AnyRequest,
+    ) -> None:
         if not self.is_active_leader:
             self._refuse(
                 client, codes.Code.NOT_LEADER, leader=self.leader_address()
@@ -242,11 +254,9 @@
     def _resolve(
         self, request: requests.SubmitJob | requests.CancelJob
     ) -> job_requests.Target | job_requests.Unresolved:
+        digits = self._settings.job_id_hex_digits
         return job_requests.resolve_path(
-            self.state.configuration,
-            request.host,
-            request.path,
-            self._settings.job_id_hex_digits,
+            self.state.configuration, request.host, request.path, digits
         )
 
     def _propose(self, command: log_commands.AnyCommand) -> int:
@@ -306,21 +316,49 @@
             self._reconcile_members(now)
         if not self._has_ended_unreadable_jobs:
             self._has_ended_unreadable_jobs = True
-            self._propose_all(job_requests.cancel_unreadable_jobs(self.state))
+            self._perform(job_requests.cancel_unreadable_jobs, self.state)
         if not self.state.is_open:
             return
-        self._propose_all(self.dispatcher.expire(now, self.state))
-        self._propose_all(self.dispatcher.effects_to_persist(now))
-        self._propose_all(self.dispatcher.jobs_to_forget(now, self.state))
-        self.dispatcher.log_load(now, self.state)
-        self._propose_all(
-            job_requests.commands_for_due_occurrences(self.state, wall_ms)
+        dispatcher = self.dispatcher
+        self._perform(dispatcher.expire, now, self.state)
+        self._perform(dispatcher.effects_to_persist, now)
+        self._perform(dispatcher.jobs_to_forget, now, self.state)
+        self._perform(dispatcher.log_load, now, self.state)
+        self._perform(
+            job_requests.commands_for_due_occurrences, self.state, wall_ms
         )
-        self.dispatcher.move_serving_tasks(now, self.state)
+        self._perform(dispatcher.move_serving_tasks, now, self.state)
+        self._perform(self._plan, now)
+
+    def _plan(self, now: float) -> None:
         planned = self.dispatcher.planner.plan(now, self.state)
         if planned is not None:
             self._run_log.on_planned(now, self._propose(planned))
 
+    def _perform(
+        self,
+        duty: Callable[..., list[log_commands.AnyCommand] | None],
+        *arguments: object,
+    ) -> None:
+        """Performs a duty of the leader and proposes what it returns.
+
+        One that raises an exception is skipped until it is due again.
+        """
+        try:
+            self._propose_all(duty(*arguments) or [])
+        except Exception as error:
+            self._log_failure("duty failed", duty.__name__, error)
+
+    def _answer_failed(
+        self, client: Client, request: requests.AnyRequest, error: Exception
+    ) -> None:
+        """Answers a request that has failed; a proposal may be committed."""
+        self._log_failure("request failed", type(request).__name__, error)
+        self._refuse(client, codes.Code.PROPOSAL_UNKNOWN)
+
+    def _log_failure(self, event: str, of: str, error: Exception) -> None:
+        self.decisions.add(event, of=of, **failures.describe(error))
+
     def _reconcile_members(self, now: float) -> None:
         """Opens the service when it is due and proposes membership changes."""
         if not self.state.is_open:
@@ -414,7 +452,8 @@
         for entry in entries:
             self._apply(now, entry)
         if entries and self._is_active_leader:
-            self.dispatcher.on_applied(self.state, self.replica.applied_index)
+            applied_index = self.replica.applied_index
+            self._perform(self.dispatcher.on_applied, self.state, applied_index)
         elif entries:
             self.state.clear_changes()
         self._update_role(now, wall_ms)
@@ -435,34 +474,28 @@
             self._apply_ends(entry.index, command)
             return
         result = self.state.apply(entry.index, command)
+        self._perform(self._on_applied, now, entry.index, command, result)
+
+    def _on_applied(
+        self,
+        now: float,
+        index: int,
+        command: log_commands.AnyCommand,
+        result: state_lib.Result,
+    ) -> None:
+        """Follows on the leader what an entry has changed."""
         match command:
             case log_commands.AssignTasks():
                 self.dispatcher.planner.on_assigned(command)
-                self._run_log.on_assigned(now, self.state, entry.index, command)
+                self._run_log.on_assigned(now, self.state, index, command)
             case log_commands.SubmitJob():
                 self._proposed_jobs.discard(command.job)
-                self._result_by_index[entry.index] = result
-                self.decisions.add(
-                    "job accepted",
-                    job=command.job,
-                    queue=command.queue.name,
-                    result=result.name,
-                    index=entry.index,
-                    open_steps=len(self.state.open_steps),
-                )
-            case log_commands.CancelJob():
-                self._result_by_index[entry.index] = result
-                self.decisions.add(
-                    "job cancelled", job=command.job, result=result.name
-                )
-            case log_commands.ReplaceConfiguration():
-                self._result_by_index[entry.index] = result
-                self.decisions.add(
-                    "configuration decided",
-                    version=command.configuration.version,
-                    result=result.name,
-                    index=entry.index,
-                )
+                self._result_by_index[index] = result
+            case log_commands.CancelJob() | log_commands.ReplaceConfiguration():
+                self._result_by_index[index] = result
+        result_log.log_result(
+            self.decisions, self.state, index, command, result
+        )
 
     def _apply_ends(self, index: int, command: log_commands.EndRuns) -> None:
         """Applies ends of runs and logs the jobs that end with them."""
@@ -471,7 +504,7 @@
             found = self.state.find_task(end.task)
             if found is not None and found[0].is_active:
                 active[found[0].id] = found[0]
-        self._run_log.on_ended(self.state, index, command)
+        self._perform(self._run_log.on_ended, self.state, index, command)
         self.state.apply(index, command)
         for job in active.values():
             if not job.is_active:
@@ -482,7 +515,11 @@
     def _answer_confirmed(self, now: float) -> None:
         """Answers confirmed requests and refuses those that timed out."""
         for item in self._read_index_queue.take_confirmed(now):
-            reply = self._build_reply(now, item)
+            try:
+                reply = self._build_reply(now, item)
+            except Exception as error:
+                self._answer_failed(item.client, item.request, error)
+                continue
             self._answered.append(Answered(item.client, reply))
         for item in self._read_index_queue.take_expired(now):
             code = codes.Code.KEEPER_UNAVAILABLE
@@ -528,28 +565,20 @@
                 | requests.CancelJob()
                 | requests.ShowTarget()
             ):
+                fleet = self.dispatcher.fleet
+                digits = self._settings.job_id_hex_digits
                 return job_requests.reply_from_state(
-                    self.state,
-                    self.dispatcher.fleet,
-                    item.request,
-                    self._settings.job_id_hex_digits,
+                    self.state, fleet, item.request, digits
                 )
             case _:
                 return requests.Refused(codes.Code.INVALID)
 
     def _report_address(self, now: float, worker: model.WorkerId) -> str:
         """Returns the address that a worker is to send its next reports to."""
-        relay_hosts = [
-            item.host
-            for item in self.replica.membership.all_keepers()
-            if item.keeper != self.replica.keeper
-            and self.replica.peer_status(now, item.keeper).seconds_since_ack
-            <= RELAY_MAX_SILENCE_S
-        ]
         host = report_relays.choose_report_host(
             worker,
             self.leader_host(),
-            relay_hosts,
+            report_relays.hosts_in_touch(now, self.replica),
             len(self.dispatcher.fleet.view_by_id),
             self._settings.direct_workers,
         )
--- a/fulmarrouter/cluster/decision_log.py
+++ b/fulmarrouter/cluster/decision_log.py
@@ -40,6 +40,11 @@
         """Adds a decision."""
         self._decisions.append(Decision(event, fields))
 
+    @property
+    def pending(self) -> Sequence[Decision]:
+        """The decisions that have not been taken yet."""
+        return self._decisions
+
     def take(self) -> list[Decision]:
         """Returns the decisions collected since the last call."""
         decisions = self._decisions
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -1,5 +1,6 @@
 """The leader's view of the workers, from their reports. Not replicated."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import itertools
@@ -176,6 +177,19 @@
         """Returns the resources that no run claims."""
         return self.report.capacity.minus(self.used)
 
+    def free_beside(
+        self, specs: Iterable[model.StepSpec]
+    ) -> commands.Resources:
+        """Returns the resources that neither runs nor further tasks claim.
+
+        Args:
+            specs: The steps of these tasks.
+        """
+        free = self.free_resources()
+        for spec in specs:
+            free = free.minus(claimed_resources(spec))
+        return free
+
     def is_fresh(self, now: float) -> bool:
         """Whether its last report is recent enough for it to get new tasks."""
         return now - self.last_heard_at <= MAX_REPORT_AGE_S
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Collection
-from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 
@@ -15,6 +14,7 @@
 from fulmarrouter.cluster import capacity_index
 from fulmarrouter.cluster import colocation
 from fulmarrouter.cluster import decision_log
+from fulmarrouter.cluster import failures
 from fulmarrouter.cluster import fleet as fleet_lib
 from fulmarrouter.cluster import interference_control
 from fulmarrouter.cluster import log_commands
@@ -76,6 +76,7 @@
         self._search_cache = search_cache.SearchCache()
         self._colocation_waits = colocation.ColocationWaits()
         self._trial_waits = trials.TrialWaits()
+        self._set_aside = failures.JobsSetAside(self._decisions)
         self._next_round_at = 0.0
         self._first_seen_by_job: dict[model.JobId, float] = {}
 
@@ -135,9 +136,7 @@
 
         The usage of the worker must be up to date.
         """
-        return _subtract_claims(
-            view, self._reservations.specs_on(view.key.worker)
-        )
+        return view.free_beside(self._reservations.specs_on(view.key.worker))
 
     def workers_at_limit(
         self, state: state_lib.State, key: state_lib.StepKey
@@ -196,11 +195,7 @@
                 )
         checks = 0
         for key in self._order_steps(now, state, keys):
-            try:
-                found, checked = self._place_step(now, state, key)
-            except Exception as error:
-                error.add_note(f"while placing {key}")
-                raise
+            found, checked = self._try_place_step(now, state, key)
             assignments += found
             checks += checked
             if (
@@ -214,6 +209,21 @@
             return None
         return log_commands.AssignTasks(tuple(assignments))
 
+    def _try_place_step(
+        self, now: float, state: state_lib.State, key: state_lib.StepKey
+    ) -> tuple[list[log_commands.Assignment], int]:
+        """Places the waiting tasks of a step, or sets its job aside."""
+        planned = set(self.planned_indices(key))
+        try:
+            return self._place_step(now, state, key)
+        except Exception as error:
+            self._set_aside.add(key.job, error)
+        for index in set(self.planned_indices(key)) - planned:
+            self._reservations.remove(
+                model.format_task_id(key.job, key.occurrence, key.step, index)
+            )
+        return [], 0
+
     def _place_step(
         self, now: float, state: state_lib.State, key: state_lib.StepKey
     ) -> tuple[list[log_commands.Assignment], int]:
@@ -441,54 +451,82 @@
             if found is None or not found[0].is_active:
                 self.cancel_move(task_id)
                 continue
-            job, key, _, task = found
-            if task.phase is not model.TaskPhase.WAITING:
+            if found[3].phase is not model.TaskPhase.WAITING:
                 continue
-            service, spec = job.queue.service, reservation.spec
-            worker = reservation.worker
-            view = self._fleet.view_by_id.get(worker)
-            if view is None or view.report.draining or not view.is_fresh(now):
-                self.cancel_move(task_id)
-                continue
-            self._fleet.refresh_usage(state, view)
-            counts = self._count_by_worker(state, key)
-            counts[worker] -= 1  # The reservation of the task itself.
-            if self._is_refused(service, spec, task_id, worker, counts[worker]):
+            try:
+                assignment = self._assign_moved_task(now, state, reservation)
+            except Exception as error:
+                self._set_aside.add(found[0].id, error)
                 self.cancel_move(task_id)
                 continue
-            free = _subtract_claims(
-                view, self._reservations.proposed_specs_on(worker)
-            )
-            if not spec.needs.fits_in(free):
-                # The task with which it changes places has not ended yet.
-                continue
-            assignment = self._assign(
-                service,
-                spec,
-                log_commands.Assignment(
-                    task_id, task.run + 1, worker, view.key.incarnation
-                ),
-                counts,
-            )
             if assignment is not None:
                 assignments.append(assignment)
         return assignments
 
+    def _assign_moved_task(
+        self,
+        now: float,
+        state: state_lib.State,
+        reservation: reservations_lib.Reservation,
+    ) -> log_commands.Assignment | None:
+        """Assigns a moved task that waits, or gives its move up."""
+        task_id, worker = reservation.task, reservation.worker
+        found = state.find_task(task_id)
+        view = self._fleet.view_by_id.get(worker)
+        if (
+            found is None
+            or view is None
+            or view.report.draining
+            or not view.is_fresh(now)
+        ):
+            self.cancel_move(task_id)
+            return None
+        job, key, _, task = found
+        service, spec = job.queue.service, reservation.spec
+        self._fleet.refresh_usage(state, view)
+        counts = self._count_by_worker(state, key)
+        counts[worker] -= 1  # The reservation of the task itself.
+        if self._is_refused(service, spec, task_id, worker, counts[worker]):
+            self.cancel_move(task_id)
+            return None
+        free = view.free_beside(self._reservations.proposed_specs_on(worker))
+        if not spec.needs.fits_in(free):
+            # The task with which it changes places has not ended yet.
+            return None
+        return self._assign(
+            service,
+            spec,
+            log_commands.Assignment(
+                task_id, task.run + 1, worker, view.key.incarnation
+            ),
+            counts,
+        )
+
     def _order_steps(
         self,
         now: float,
         state: state_lib.State,
         keys: list[state_lib.StepKey],
     ) -> list[state_lib.StepKey]:
-        """Returns the steps in the order in which they are to be placed."""
+        """Returns the steps in the order in which they are to be placed.
+
+        Those of jobs that are set aside are left out.
+        """
         rank_by_job: dict[model.JobId, ordering.Rank] = {}
         for key in keys:
-            if key.job not in rank_by_job:
-                first_seen = self._first_seen_by_job.setdefault(key.job, now)
+            if key.job in rank_by_job or key.job in self._set_aside:
+                continue
+            first_seen = self._first_seen_by_job.setdefault(key.job, now)
+            try:
                 rank_by_job[key.job] = ordering.rank(
                     state.job_by_id[key.job], now - first_seen
                 )
-        return sorted(keys, key=lambda key: (rank_by_job[key.job], key))
+            except Exception as error:
+                self._set_aside.add(key.job, error)
+        return sorted(
+            (key for key in keys if key.job in rank_by_job),
+            key=lambda key: (rank_by_job[key.job], key),
+        )
 
     def _build_demand(
         self, now: float, state: state_lib.State, search: search_cache.Search
@@ -550,13 +588,3 @@
             may_split=waits.may_split(now, search.key),
             may_span_racks=may_span_racks,
         )
-
-
-def _subtract_claims(
-    view: fleet_lib.WorkerView, specs: Iterable[model.StepSpec]
-) -> commands.Resources:
-    """Returns a worker's free resources without the claims of more tasks."""
-    free = view.free_resources()
-    for spec in specs:
-        free = free.minus(fleet_lib.claimed_resources(spec))
-    return free
--- a/fulmarrouter/cluster/report_relays.py
+++ b/fulmarrouter/cluster/report_relays.py
@@ -9,6 +9,28 @@
 from collections.abc import Sequence
 import zlib
 
+from fulmarrouter import consensus
+
+# A keeper that has not answered the leader for longer than this is not used as
+# a relay of workers' reports.
+MAX_SILENCE_S = 0.5
+
+
+def hosts_in_touch(now: float, replica: consensus.Replica) -> list[str]:
+    """Returns the hosts of the other keepers that have just answered the leader.
+
+    Args:
+        now: Monotonic time.
+        replica: The leader's replica.
+    """
+    return [
+        item.host
+        for item in replica.membership.all_keepers()
+        if item.keeper != replica.keeper
+        and replica.peer_status(now, item.keeper).seconds_since_ack
+        <= MAX_SILENCE_S
+    ]
+
 
 def choose_report_host(
     worker: str,
