Take no run for absent from a report that doesn't list all ends

What callers saw: tasks ran a second time on another worker although they were done and their ends were acknowledged, if more than 500 ended on a draining worker at the same time.

Cause: a heartbeat lists 500 ends at a time. A run beyond these is listed neither as running nor as ended, and was taken for one that had never been started. 'runs absent' with ends_listed=500 shows that; no worker was gone or lost, none was evicted, no leader elected.

A report now says whether ends may follow that it doesn't list; only the platform's format knows the limit. Such a report proves the absence of no run: on a draining worker, for runs that nobody wants, and of those that the answer to an earlier incarnation has ordered. It is answered without starts, since each run that it doesn't list may have ended: on a worker that didn't drain, those were ordered again and again, and each order came back as an end 'refused'. Its worker reports again after 50 ms, so that the other ends are taken in sooner.

A report that a process of an earlier version forwards isn't marked, so a deployment has the fault until all are replaced.

--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -97,6 +97,16 @@
       | first | last |
       | 0     | 14   |
 
+  # Guards against tasks that start again although they are done, since their ends don't
+  # fit in one report.
+  Scenario Outline: Reports list few of the ends of runs, seeds <first> to <last>
+    When cluster histories <first> to <last> of reports that list few ends are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 0     | 19   |
+
   Scenario Outline: The histories <kind> detect that <mechanism>
     When cluster histories <kind> are run from seed <first> on while <mechanism>
     Then at least one history violates an invariant
@@ -110,6 +120,7 @@
       | of workers that start again and are cut off             | 0     | a report that was held back is taken for new |
       | of workers that start again and are cut off             | 49    | a worker that has started again is told to start tasks at once |
       | of workers that start again and are cut off             | 36    | a leave that names no incarnation is taken for one of the newest |
+      | of reports that list few ends                           | 0     | each list of ends is taken for whole |
 
   Scenario Outline: The histories detect that <mechanism>
     When cluster histories are run while <mechanism>
--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -16,6 +16,7 @@
 from features.support import cluster_simulation
 from features.support import departure_scenarios
 from features.support import limit_scenarios
+from features.support import list_scenarios
 from features.support import restart_scenarios
 from fulmarrouter import codes
 from fulmarrouter import consensus
@@ -70,6 +71,7 @@
     "of workers that start again and are cut off": (
         restart_scenarios.run_restarts
     ),
+    "of reports that list few ends": list_scenarios.run_short_lists,
 }
 
 
@@ -329,6 +331,11 @@
         "may_start",
         _is_always_true,
     ),
+    "each list of ends is taken for whole": (
+        fleet_lib.WorkerView,
+        "lists_all_ends",
+        True,
+    ),
 }
 # Mechanisms that are disabled together, since each of them covers for the others.
 JOINT_MUTATIONS_BY_NAME: dict[str, tuple[tuple[Any, str, Any], ...]] = {
--- a/features/steps/platform_formats_steps.py
+++ b/features/steps/platform_formats_steps.py
@@ -66,9 +66,9 @@
 }
 
 
-@when("a heartbeat with {fault} is decoded")
-def step_decode_heartbeat(context: Any, fault: str) -> None:
-    heartbeat: dict[str, Any] = {
+def heartbeat() -> dict[str, Any]:
+    """Returns a heartbeat, as a worker sends it."""
+    return {
         "service": "s1",
         "address": "10.0.0.9:8080",
         "zone": "z",
@@ -83,24 +83,29 @@
         "running": [["0a.0.0.1", 1, "", 10, 900]],
         "ended": [[1, "0a.0.0.2", 1, "done", ""]],
     }
+
+
+@when("a heartbeat with {fault} is decoded")
+def step_decode_heartbeat(context: Any, fault: str) -> None:
+    given_heartbeat = heartbeat()
     match fault:
         case "an unknown state":
-            heartbeat["state"] = "dancing"
+            given_heartbeat["state"] = "dancing"
         case "no gpu in its capacity":
-            del heartbeat["capacity"]["gpu"]
+            del given_heartbeat["capacity"]["gpu"]
         case "a capacity that is a number":
-            heartbeat["capacity"] = 1000
+            given_heartbeat["capacity"] = 1000
         case _ if fault in FIELD_BY_FAULT:
-            del heartbeat[FIELD_BY_FAULT[fault]]
+            del given_heartbeat[FIELD_BY_FAULT[fault]]
         case "a born time that is text":
-            heartbeat["born"] = "1700000000000"
+            given_heartbeat["born"] = "1700000000000"
         case "a born time of 70 bits":
-            heartbeat["born"] = 2**70
+            given_heartbeat["born"] = 2**70
         case "a usage of 70 bits":
-            heartbeat["running"][0][4] = float(2**70)
+            given_heartbeat["running"][0][4] = float(2**70)
         case "an unknown ending":
-            heartbeat["ended"][0][3] = "vanished"
-    body = json.dumps(heartbeat).encode()
+            given_heartbeat["ended"][0][3] = "vanished"
+    body = json.dumps(given_heartbeat).encode()
     if fault == "bytes that are not JSON":
         body = b"\xff\xfe{"
     _record_verdict(context, worker_format.decode_heartbeat, "i-1", body)
--- a/features/support/cluster_simulation.py
+++ b/features/support/cluster_simulation.py
@@ -56,6 +56,7 @@
 
     Attributes:
         failure_share: Share of the runs that fail.
+        max_listed_ends: Most ends that a report lists.
         max_stop_s: Longest time that a run goes on after an order to stop it.
         run_durations_s: Durations from which that of each run is drawn.
         accepted_jobs: Jobs whose submission was accepted.
@@ -81,6 +82,7 @@
             for n in range(4)
         ]
         self.failure_share = 0.1
+        self.max_listed_ends = 500
         self.max_stop_s = 0.0
         self.run_durations_s: tuple[float, ...] = (0.1, 0.4, 1.0, 2.5)
         self.accepted_jobs: set[model.JobId] = set()
@@ -383,8 +385,9 @@
             tuple(
                 self._active_run(task, run) for task, run in worker.runs.items()
             ),
-            tuple(worker.ended),
+            tuple(worker.ended[: self.max_listed_ends]),
             clock_ms=round(1000 * (self.now - worker.started_at)),
+            has_more_ends=len(worker.ended) >= self.max_listed_ends,
         )
 
         def on_reply(reply: requests.AnyReply) -> None:
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -508,6 +508,7 @@
             if (
                 is_wanted
                 and not view.report.draining
+                and view.lists_all_ends
                 and view.may_start(now)
                 and not assignment_limits.must_wait_for_stops(
                     state, view, key, task_id
@@ -532,8 +533,8 @@
             stops=tuple(stops),
             paces=tuple(paces),
             next_report_ms=(
-                order_budget.MORE_ORDERS_REPORT_MS
-                if budget.has_deferred
+                report_timing.CONTINUED_REPORT_MS
+                if budget.has_deferred or not view.lists_all_ends
                 else self._next_report_ms(view)
             ),
         )
--- a/fulmarrouter/cluster/fleet.py
+++ b/fulmarrouter/cluster/fleet.py
@@ -138,6 +138,14 @@
     )
     stalled: dict[model.TaskId, int] = dataclasses.field(default_factory=dict)
 
+    @property
+    def lists_all_ends(self) -> bool:
+        """Whether a run that its last report doesn't list has not ended on it.
+
+        Otherwise the run may be among the ends that the next reports list.
+        """
+        return not self.report.has_more_ends
+
     def has_reported(self, task: model.TaskId, run: int) -> bool:
         """Whether the worker reported the run as running or ended."""
         known = self.running.get(task)
--- a/fulmarrouter/cluster/order_budget.py
+++ b/fulmarrouter/cluster/order_budget.py
@@ -13,8 +13,6 @@
 MAX_ORDER_BYTES = 128 << 10
 # Bytes of an order in addition to its strings.
 ORDER_OVERHEAD_BYTES = 24
-# When a worker reports again that has not been sent all of its orders.
-MORE_ORDERS_REPORT_MS = 50
 
 
 class OrderBudget:
--- a/fulmarrouter/cluster/report_timing.py
+++ b/fulmarrouter/cluster/report_timing.py
@@ -14,6 +14,8 @@
 FULL_REPORT_INTERVAL_MS = 400
 # With a longer interval, a working worker would be considered silent.
 MAX_REPORT_INTERVAL_MS = 800
+# Interval to the next report if orders are left for its answer, or ends for its list.
+CONTINUED_REPORT_MS = 50
 # A worker counts as full unless more than this share of its capacity is free.
 MIN_FREE_SHARE = 0.03
 # Time to assign the capacity that an ended run has freed, and to commit the
--- a/fulmarrouter/cluster/requests.py
+++ b/fulmarrouter/cluster/requests.py
@@ -87,6 +87,7 @@
         rack: Failure domain within a zone.
         drain_time_left_ms: Minimum time until a draining worker stops.
         clock_ms: The incarnation's steady clock at the sending; 0 if unknown.
+        has_more_ends: Whether there may be ended runs beyond the last one listed.
     """
 
     worker: model.WorkerId
@@ -104,6 +105,7 @@
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
     clock_ms: int = 0
+    has_more_ends: bool = False
 
 
 class WorkerLeft(Request, frozen=True):
--- a/fulmarrouter/cluster/restarts.py
+++ b/fulmarrouter/cluster/restarts.py
@@ -87,7 +87,9 @@
 
     Those that it lists have been started; they are over once they have stopped.
     """
-    if not view.undecided or not _follows_all_answers(now, view):
+    if not view.undecided or not view.lists_all_ends:
+        return []
+    if not _follows_all_answers(now, view):
         return []
     ends = []
     undecided = set()
--- a/fulmarrouter/cluster/run_ends.py
+++ b/fulmarrouter/cluster/run_ends.py
@@ -90,8 +90,10 @@
     """Returns the ends, as lost, of assigned runs that will not be started.
 
     Those that the worker has not reported and is not to start any more. Its report
-    may have been sent before an order to start arrived.
+    may have been sent before an order to start arrived, and must list all ends.
     """
+    if not view.lists_all_ends:
+        return []
     ends = []
     for task_id, run in state.runs_by_worker.get(view.key, {}).items():
         if view.has_reported(task_id, run):
