Let waiting jobs follow the newest definition of their queue

What callers saw: a job that waited while its queue was sent to another service never ran, though later jobs of the queue did.

Cause: a job held the queue's definition of its acceptance, and workers were sought in that service only. 'load' shows it: oldest_service='depot' after the queue had been sent to booking; with the step searched nowhere else, a remembered failed search or a missing round can't be the cause.

A job now also holds the newest definition of its queue, which each change of the configuration updates; if the queue is removed, the last one stays. The service for new assignments, priority, stretch and target are taken from it.

--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -107,6 +107,16 @@
       | first | last |
       | 0     | 19   |
 
+  # Guards against a job that waits for ever for a service that its queue no longer
+  # uses, and against a stored job that ends each leader.
+  Scenario Outline: Queues change while jobs of them wait and run, seeds <first> to <last>
+    When cluster histories <first> to <last> of queues that change are run
+    Then no history violates an invariant
+
+    Examples:
+      | first | last |
+      | 0     | 19   |
+
   Scenario Outline: The histories <kind> detect that <mechanism>
     When cluster histories <kind> are run from seed <first> on while <mechanism>
     Then at least one history violates an invariant
@@ -121,6 +131,10 @@
       | of workers that start again and are cut off             | 49    | a worker that has started again is told to start tasks at once |
       | of workers that start again and are cut off             | 36    | a leave that names no incarnation is taken for one of the newest |
       | of reports that list few ends                           | 0     | each list of ends is taken for whole |
+      | of queues that change                                   | 0     | jobs keep the queue of their acceptance |
+      | of queues that change                                   | 0     | a queue that is renamed is taken for removed |
+      | of queues that change                                   | 0     | any name is taken for a job's ID |
+      | of queues that change                                   | 0     | stored jobs of any name are placed |
 
   Scenario Outline: The histories detect that <mechanism>
     When cluster histories are run while <mechanism>
--- a/features/steps/assignment_steps.py
+++ b/features/steps/assignment_steps.py
@@ -15,7 +15,7 @@
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
-from fulmarrouter.cluster import state as state_lib
+from fulmarrouter.cluster import snapshots
 
 MOVED_TASK = serving_moves_steps.MOVED_TASK
 OTHER_TASK = model.TaskId("odd.0.0.1")
@@ -306,7 +306,7 @@
 def step_leader_from_snapshot(context: Any) -> None:
     harness = context.harness
     _end_earlier_run(context, model.Outcome.DONE)
-    harness.state = state_lib.decode(harness.state.encode())
+    harness.state = snapshots.decode(snapshots.encode(harness.state))
     harness.dispatcher.start_term(0.2, harness.state)
     harness.report(0.3, "w", 16_000)
     context.assignments = harness.plan(0.4)
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -17,6 +17,7 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import queue_lengths
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import snapshots
 from fulmarrouter.cluster import state as state_lib
 
 JOB = model.JobId("0a")
@@ -81,7 +82,7 @@
 def step_late_submission(context: Any, when: str) -> None:
     match when:
         case "after a snapshot was loaded":
-            context.state = state_lib.decode(context.state.encode())
+            context.state = snapshots.decode(snapshots.encode(context.state))
         case "after 4096 other cancellings":
             for number in range(4096):
                 other = model.JobId(f"other-{number}")
--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -17,6 +17,7 @@
 from features.support import departure_scenarios
 from features.support import limit_scenarios
 from features.support import list_scenarios
+from features.support import queue_scenarios
 from features.support import restart_scenarios
 from fulmarrouter import codes
 from fulmarrouter import consensus
@@ -28,6 +29,7 @@
 from fulmarrouter.cluster import job_requests
 from fulmarrouter.cluster import membership
 from fulmarrouter.cluster import model
+from fulmarrouter.cluster import queue_changes
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import reservations as reservations_lib
 from fulmarrouter.cluster import restarts
@@ -72,6 +74,7 @@
         restart_scenarios.run_restarts
     ),
     "of reports that list few ends": list_scenarios.run_short_lists,
+    "of queues that change": queue_scenarios.run_queue_definitions,
 }
 
 
@@ -255,6 +258,13 @@
     return request.incarnation or present
 
 
+def _find_by_name(
+    self: queue_changes.Definitions, queue: model.Queue
+) -> model.Queue:
+    """Finds a queue by its name only."""
+    return self._by_name.get(queue.name, queue)
+
+
 def _refuse_nothing(*args: Any) -> None:
     del args
 
@@ -331,6 +341,22 @@
         "may_start",
         _is_always_true,
     ),
+    "jobs keep the queue of their acceptance": (
+        state_lib.Job,
+        "newest_queue",
+        property(lambda job: job.queue),
+    ),
+    "a queue that is renamed is taken for removed": (
+        queue_changes.Definitions,
+        "newest",
+        _find_by_name,
+    ),
+    "any name is taken for a job's ID": (model, "is_job_id", _is_always_true),
+    "stored jobs of any name are placed": (
+        model,
+        "has_readable_task_ids",
+        _is_always_true,
+    ),
     "each list of ends is taken for whole": (
         fleet_lib.WorkerView,
         "lists_all_ends",
--- a/features/steps/filling_steps.py
+++ b/features/steps/filling_steps.py
@@ -15,6 +15,7 @@
 from fulmarrouter.cluster import pacing
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import run_ends
+from fulmarrouter.cluster import snapshots
 from fulmarrouter.cluster import state as state_lib
 
 SERVICE = model.ServiceName("s")
@@ -264,7 +265,7 @@
         context.harness.commit(command)
     state = context.harness.state
     if source == "a snapshot":
-        state = state_lib.decode(state.encode())
+        state = snapshots.decode(snapshots.encode(state))
     context.next_dispatcher = dispatcher.Dispatcher(
         dispatcher.DispatchSettings()
     )
--- a/features/steps/job_ids_steps.py
+++ b/features/steps/job_ids_steps.py
@@ -19,6 +19,7 @@
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import snapshots
 from fulmarrouter.cluster import state as state_lib
 
 TURNS = 20
@@ -164,7 +165,7 @@
     disk = storage.Storage(context.folder)
     disk.load()
     membership = messages.Membership(voters=(member,))
-    snapshot = raft_log.SnapshotData(1, 1, membership, state.encode())
+    snapshot = raft_log.SnapshotData(1, 1, membership, snapshots.encode(state))
     disk.store_snapshot(snapshot, [])
     disk.close()
 
--- a/features/steps/reporting_steps.py
+++ b/features/steps/reporting_steps.py
@@ -25,6 +25,7 @@
 from fulmarrouter.cluster import report_relays
 from fulmarrouter.cluster import report_timing
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import snapshots
 from fulmarrouter.cluster import state as state_lib
 
 TURN_S = 0.005
@@ -129,7 +130,7 @@
                 1,
                 1,
                 messages.Membership(voters=(member,)),
-                state.encode() if state is not None else b"",
+                snapshots.encode(state) if state is not None else b"",
             ),
             tuple(
                 messages.Entry(
--- a/features/support/cluster_simulation.py
+++ b/features/support/cluster_simulation.py
@@ -53,6 +53,7 @@
         workers: The workers; four alike by default.
         effects: Interference effects that the keepers know from the start.
         lease_s: How long workers may run tasks without a renewed lease.
+        stored_commands: Commands that the keepers have applied at the start.
 
     Attributes:
         failure_share: Share of the runs that fail.
@@ -75,8 +76,9 @@
         workers: Sequence[simulated_processes.Worker] = (),
         effects: Iterable[log_commands.InterferenceEffect] = (),
         lease_s: float = simulated_keepers.LEASE_S,
+        stored_commands: Iterable[log_commands.AnyCommand] = (),
     ) -> None:
-        super().__init__(seed, effects, lease_s)
+        super().__init__(seed, effects, lease_s, stored_commands)
         self.workers = list(workers) or [
             simulated_processes.Worker(model.WorkerId(f"w{n}"))
             for n in range(4)
@@ -93,6 +95,7 @@
         self.ends = end_checks.EndChecks()
         self.spec_by_job: dict[model.JobId, model.JobSpec] = {}
         self.queue_by_job: dict[model.JobId, model.Queue] = {}
+        self.services_by_job: dict[model.JobId, set[model.ServiceName]] = {}
         self.newest_version_read = 0
         self.acknowledged_version = 0
         self.start_count = 0
@@ -173,6 +176,7 @@
         job = model.JobId(f"{self._job_count:016x}")
         self.spec_by_job[job] = model.JobSpec("payload", tuple(steps))
         self.queue_by_job[job] = queue
+        self.services_by_job[job] = {queue.service}
         return job
 
     def _path(self, job: model.JobId) -> str:
@@ -537,14 +541,17 @@
             self._rng.random() < self.failure_share,
             is_disowned=is_disowned,
         )
-        worker_limits.check_worker(worker, self.spec_by_job, self.queue_by_job)
+        self._check_worker(worker)
 
     def _check_limits(self) -> None:
         for worker in self.workers:
             if worker.alive and worker.runs:
-                worker_limits.check_worker(
-                    worker, self.spec_by_job, self.queue_by_job
-                )
+                self._check_worker(worker)
+
+    def _check_worker(self, worker: simulated_processes.Worker) -> None:
+        worker_limits.check_worker(
+            worker, self.spec_by_job, self.services_by_job
+        )
 
     def quiesce(self, seconds: float = 25.0) -> None:
         """Ends all faults and checks that the cluster recovers.
@@ -576,10 +583,9 @@
             known = state.job_by_id.get(job)
             if known is None:
                 raise InvariantViolationError(f"accepted job {job} was lost")
+        for known in state.job_by_id.values():
             if known.is_active:
-                raise InvariantViolationError(
-                    f"accepted job {job} has not ended"
-                )
+                raise InvariantViolationError(f"job {known.id} has not ended")
         held = state.configuration
         if (held.version if held else 0) < self.acknowledged_version:
             raise InvariantViolationError(
--- a/features/support/leader_fuzz.py
+++ b/features/support/leader_fuzz.py
@@ -21,6 +21,7 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import request_checks
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import snapshots
 
 # Requests per seed, and the leader's turns after each accepted one.
 CALL_COUNT = 60
@@ -260,7 +261,7 @@
     leader.controller.dispatcher.start_term(
         leader.now, leader.controller.state, 0
     )
-    leader.controller.state.encode()
+    snapshots.encode(leader.controller.state)
     return accepted_count
 
 
@@ -299,7 +300,7 @@
             )
             for _ in range(TURNS_AFTER_CALL):
                 _take_turn(leader)
-    leader.controller.state.encode()
+    snapshots.encode(leader.controller.state)
     return accepted_count
 
 
--- a/features/support/simulated_keepers.py
+++ b/features/support/simulated_keepers.py
@@ -20,12 +20,14 @@
 from fulmarrouter.cluster import dispatcher
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import requests
+from fulmarrouter.cluster import snapshots
 from fulmarrouter.cluster import state as state_lib
 
 # Simulated seconds between two runs of every process.
 TICK_S = 0.02
 LEASE_S = 3.0
 CONTROL_PORT = 8080
+JOB_ID_HEX_DIGITS = 16
 
 
 class KeeperSimulation:
@@ -35,6 +37,7 @@
         seed: Seed of all that is random.
         effects: Interference effects that the keepers know from the start.
         lease_s: How long workers may run tasks without a renewed lease.
+        stored_commands: Commands that the keepers have applied at the start.
 
     Attributes:
         loss: Probability that a message between hosts, or a reply to a request,
@@ -48,6 +51,7 @@
         seed: int,
         effects: Iterable[log_commands.InterferenceEffect] = (),
         lease_s: float = LEASE_S,
+        stored_commands: Iterable[log_commands.AnyCommand] = (),
     ) -> None:
         self._rng = random.Random(seed)
         self._lease_s = lease_s
@@ -63,6 +67,8 @@
         self._callback_by_call: dict[int, Any] = {}
         self._initial_state = state_lib.State()
         self._initial_state.apply(1, log_commands.KeepEffects(tuple(effects)))
+        for command in stored_commands:
+            self._initial_state.apply(1, command)
         self._bootstrap()
 
     # Set-up.
@@ -74,7 +80,7 @@
             1,
             1,
             messages.Membership(voters=(first.member(),)),
-            self._initial_state.encode(),
+            snapshots.encode(self._initial_state),
         )
         for host in self.hosts:
             self._start_keeper(host)
@@ -98,7 +104,9 @@
         )
         host.controller = controller_lib.Controller(
             replica,
-            controller_lib.ControllerSettings(3, CONTROL_PORT),
+            controller_lib.ControllerSettings(
+                3, CONTROL_PORT, job_id_hex_digits=JOB_ID_HEX_DIGITS
+            ),
             dispatcher.DispatchSettings(lease_s=self._lease_s),
         )
         host.pending_syncs = []
--- a/features/support/worker_limits.py
+++ b/features/support/worker_limits.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+from collections.abc import Collection
 from collections.abc import Mapping
 
 from features.support import simulated_processes
@@ -18,14 +19,14 @@
 def check_worker(
     worker: simulated_processes.Worker,
     spec_by_job: Mapping[model.JobId, model.JobSpec],
-    queue_by_job: Mapping[model.JobId, model.Queue],
+    services_by_job: Mapping[model.JobId, Collection[model.ServiceName]],
 ) -> None:
     """Checks a worker's runs against its capacity and the limits of its steps.
 
     Args:
         worker: The worker.
         spec_by_job: Specifications of all submitted jobs.
-        queue_by_job: Their queues.
+        services_by_job: Services to which their queues are or were sent.
 
     Raises:
         InvariantViolationError: The worker exceeds its capacity or a limit per
@@ -52,10 +53,10 @@
                 f"{worker.worker} runs {task} without its label"
                 f" {spec.required_label}"
             )
-        if queue_by_job[job].service != worker.service:
+        if worker.service not in services_by_job[job]:
             raise InvariantViolationError(
                 f"{worker.worker} of service {worker.service} runs {task} of"
-                f" service {queue_by_job[job].service}"
+                f" services {services_by_job[job]}"
             )
     if not claimed.fits_in(worker.capacity):
         raise InvariantViolationError(
--- a/fulmarrouter/cluster/capacity_index.py
+++ b/fulmarrouter/cluster/capacity_index.py
@@ -324,6 +324,6 @@
     return sum(
         step.waiting_count
         for key, step in state.open_steps.items()
-        if state.job_by_id[key.job].queue.service == service
+        if state.job_by_id[key.job].newest_queue.service == service
         and gaps_lib.is_ordinary(state.spec_of(key))
     )
--- a/fulmarrouter/cluster/colocation.py
+++ b/fulmarrouter/cluster/colocation.py
@@ -55,21 +55,25 @@
 
 
 def rack_in_use(
-    fleet: fleet_lib.Fleet, count_by_worker: Mapping[model.WorkerId, int]
+    fleet: fleet_lib.Fleet,
+    service: model.ServiceName,
+    count_by_worker: Mapping[model.WorkerId, int],
 ) -> str:
-    """Returns the rack on which most of a step's tasks run.
+    """Returns the rack of a service on which most of a step's tasks run.
 
     Args:
         fleet: The workers, as last reported.
+        service: The service. Tasks may still run in another one, that the queue
+            was sent to before.
         count_by_worker: Number of the step's tasks on each worker.
 
     Returns:
-        The rack, or an empty string if no task runs on a known worker.
+        The rack, or an empty string if no task runs on a known worker of it.
     """
     count_by_rack: dict[str, int] = {}
     for worker, count in count_by_worker.items():
         view = fleet.view_by_id.get(worker)
-        if view is not None:
+        if view is not None and view.report.service == service:
             rack = view.report.rack
             count_by_rack[rack] = count_by_rack.get(rack, 0) + count
     return max(count_by_rack, key=lambda rack: count_by_rack[rack], default="")
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -28,6 +28,7 @@
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import result_log
 from fulmarrouter.cluster import run_log
+from fulmarrouter.cluster import snapshots
 from fulmarrouter.cluster import state as state_lib
 
 # Entries applied between two snapshots. Keeps the replay after a restart under a
@@ -79,7 +80,7 @@
         dispatch_settings: dispatcher_lib.DispatchSettings,
     ) -> None:
         self.replica = replica
-        self.state = state_lib.decode(replica.log.snapshot.data)
+        self.state = snapshots.decode(replica.log.snapshot.data)
         self.announcements = membership.Announcements()
         self.decisions = decision_log.DecisionBuffer()
         self.dispatcher = dispatcher_lib.Dispatcher(
@@ -445,7 +446,7 @@
         if self._snapshot_index < self.replica.log.snapshot.last_index:
             snapshot = self.replica.log.snapshot
             self._snapshot_index = snapshot.last_index
-            self.state = state_lib.decode(snapshot.data)
+            self.state = snapshots.decode(snapshot.data)
         entries = self.replica.take_committed()
         # The applied entries may make more tasks ready to be planned.
         self.has_pending_work = bool(entries) and self._is_active_leader
@@ -594,4 +595,4 @@
         ):
             return None
         self._snapshot_index = applied
-        return self.replica.compact(self.state.encode())
+        return self.replica.compact(snapshots.encode(self.state))
--- a/fulmarrouter/cluster/load_summary.py
+++ b/fulmarrouter/cluster/load_summary.py
@@ -69,10 +69,10 @@
     }
     if oldest is not None:
         spec = state.spec_of(oldest)
-        queue = state.job_by_id[oldest.job].queue
+        job = state.job_by_id[oldest.job]
         fields["oldest_waiting"] = ".".join(str(part) for part in oldest)
-        fields["oldest_queue"] = queue.name
-        fields["oldest_service"] = queue.service
+        fields["oldest_queue"] = job.newest_queue.name
+        fields["oldest_service"] = job.newest_queue.service
         fields["oldest_asks_cores"] = spec.needs.millicores // 1000
         fields["oldest_tasks"] = state.open_steps[oldest].waiting_count
         fields["oldest_max_per_worker"] = spec.max_per_worker
@@ -80,7 +80,7 @@
         fields["oldest_is_gang"] = spec.gang
         fields["oldest_last_attempts"] = sum(
             task.phase is model.TaskPhase.WAITING
-            and ordering.is_last_attempt(task, queue.max_attempts)
+            and ordering.is_last_attempt(task, job.queue.max_attempts)
             for task in state.open_steps[oldest].tasks
         )
     return fields
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -40,6 +40,7 @@
 from fulmarrouter.cluster import request_checks
 from fulmarrouter.cluster import requests
 from fulmarrouter.cluster import settings_watcher
+from fulmarrouter.cluster import snapshots
 from fulmarrouter.cluster import state as state_lib
 
 # Longest wait for I/O in one iteration of the event loop, without a keeper and
@@ -183,7 +184,7 @@
         assert self._storage is not None
         member = messages.Membership(voters=(self._own_address(),))
         snapshot = raft_log.SnapshotData(
-            1, FOUNDING_TERM, member, state_lib.State().encode()
+            1, FOUNDING_TERM, member, snapshots.encode(state_lib.State())
         )
         self._storage.store_snapshot(snapshot, [])
         self.log.info("founded the quorum", keeper=self._identity)
--- a/fulmarrouter/cluster/ordering.py
+++ b/fulmarrouter/cluster/ordering.py
@@ -50,8 +50,8 @@
 def objective_s(job: state_lib.Job) -> float:
     """Returns the time in which a job is to end, from its estimates."""
     return (
-        job.queue.stretch * critical_path_s(job.spec)
-        + job.queue.target_ms / 1000
+        job.newest_queue.stretch * critical_path_s(job.spec)
+        + job.newest_queue.target_ms / 1000
     )
 
 
@@ -94,7 +94,7 @@
 def rank(job: state_lib.Job, elapsed_s: float) -> Rank:
     """Returns the sort key of a job; the lowest goes first."""
     return (
-        job.queue.priority,
+        job.newest_queue.priority,
         timeliness(job, elapsed_s),
         precedence(job),
         remaining_core_s(job),
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -189,7 +189,7 @@
         self._capacity_index.refresh(now, state)
         for key in opened:
             if key in state.open_steps:
-                service = state.job_by_id[key.job].queue.service
+                service = state.job_by_id[key.job].newest_queue.service
                 self._capacity_index.record_opened_step(
                     service, state.spec_of(key)
                 )
@@ -234,7 +234,7 @@
         """
         step = state.open_steps[key]
         spec = state.spec_of(key)
-        service = state.job_by_id[key.job].queue.service
+        service = state.job_by_id[key.job].newest_queue.service
         search = search_cache.Search(key, service, spec)
         if spec.fills and self._is_past_starvation_age(now, key.job):
             share = self._capacity_index.free_share(service)
@@ -482,7 +482,7 @@
             self.cancel_move(task_id)
             return None
         job, key, _, task = found
-        service, spec = job.queue.service, reservation.spec
+        service, spec = job.newest_queue.service, reservation.spec
         self._fleet.refresh_usage(state, view)
         counts = self._count_by_worker(state, key)
         counts[worker] -= 1  # The reservation of the task itself.
@@ -584,7 +584,9 @@
         )
         return dataclasses.replace(
             demand,
-            rack=colocation.rack_in_use(self._fleet, demand.count_by_worker),
+            rack=colocation.rack_in_use(
+                self._fleet, search.service, demand.count_by_worker
+            ),
             may_split=waits.may_split(now, search.key),
             may_span_racks=may_span_racks,
         )
--- a/fulmarrouter/cluster/queue_lengths.py
+++ b/fulmarrouter/cluster/queue_lengths.py
@@ -16,7 +16,7 @@
 ) -> int:
     """Returns how many active jobs of a queue are not known to have begun."""
     return sum(
-        job.queue.name == queue
+        job.newest_queue.name == queue
         and job.is_active
         and not (job.has_started and _has_begun(job, fleet))
         for job in state.job_by_id.values()
--- a/fulmarrouter/cluster/serving_moves.py
+++ b/fulmarrouter/cluster/serving_moves.py
@@ -223,8 +223,11 @@
                 continue
             job, key, step, _ = found
             spec = job.spec.steps[key.step]
+            service = job.newest_queue.service
+            # What runs where its queue was sent to before stays there.
             if (
                 not view.is_running(task_id, run)
+                or view.report.service != service
                 or not _may_move(spec)
                 or job.id in self._move_by_job
             ):
@@ -237,7 +240,7 @@
                 serving_arrangement.MovableTask(
                     task_id,
                     job.id,
-                    job.queue.service,
+                    service,
                     spec,
                     self._planner.workers_at_limit(state, key),
                 )
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -3,6 +3,10 @@
 Deterministic and free of I/O: every keeper applies the same commands in the
 same order and reaches the same state. Indexes that can be derived from the
 jobs are maintained with each command and rebuilt when a snapshot is loaded.
+
+Which definition of its queue counts for a job is told in docs/POLICY.md. What
+applying a command depends on is that of the job's acceptance, since replicas of
+earlier versions know no other.
 """
 
 from collections.abc import Callable
@@ -16,6 +20,7 @@
 from fulmarrouter.cluster import early_cancellations
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
+from fulmarrouter.cluster import queue_changes
 
 # Limit on stored interference effects; those updated least recently are
 # evicted first.
@@ -80,11 +85,14 @@
     """An accepted job.
 
     Attributes:
-        queue: Definition of the queue at the time the job was accepted.
+        queue: Definition of the queue when the submission was proposed.
         submitted_ms: Wall-clock time of the submission.
         accepted_index: Log index of the command that accepted the job.
         has_started: Whether any task has been assigned to a worker.
         steps_by_occurrence: Steps of the occurrences that have begun.
+        changed_queue: Newest definition of the queue, or the last one if it has
+            been removed; None if that is the first one. Applying a command
+            doesn't depend on it.
     """
 
     id: model.JobId
@@ -97,6 +105,12 @@
     steps_by_occurrence: dict[int, list[Step]] = msgspec.field(
         default_factory=dict
     )
+    changed_queue: model.Queue | None = None
+
+    @property
+    def newest_queue(self) -> model.Queue:
+        """Newest definition of the queue, by which waiting tasks are placed."""
+        return self.changed_queue or self.queue
 
     @property
     def is_active(self) -> bool:
@@ -113,15 +127,6 @@
         )
 
 
-class _Snapshot(msgspec.Struct, array_like=True):
-    configuration: model.Configuration | None
-    is_open: bool
-    jobs: list[Job]
-    effects: list[log_commands.InterferenceEffect] = []
-    early_cancellations: list[model.JobId] = []
-    unwanted_runs: list[log_commands.Assignment] = []
-
-
 class Result(enum.IntEnum):
     """Result of applying a command.
 
@@ -155,6 +160,7 @@
 
     def __init__(self) -> None:
         self.configuration: model.Configuration | None = None
+        self._queue_definitions = queue_changes.Definitions(None)
         self.is_open = False
         self.job_by_id: dict[model.JobId, Job] = {}
         self.open_steps: dict[StepKey, Step] = {}
@@ -207,6 +213,21 @@
         self._task_lookup_cache[task_id] = found
         return found
 
+    def set_configuration(
+        self, configuration: model.Configuration | None
+    ) -> None:
+        """Replaces the configuration."""
+        self.configuration = configuration
+        self._queue_definitions = queue_changes.Definitions(configuration)
+        for job in self.job_by_id.values():
+            self.follow_queue(job)
+
+    def follow_queue(self, job: Job) -> None:
+        """Records the newest definition of an active job's queue."""
+        if job.is_active:
+            newest = self._queue_definitions.newest(job.newest_queue)
+            job.changed_queue = newest if newest != job.queue else None
+
     def take_newly_open_steps(self) -> list[StepKey]:
         """Returns the steps marked as open since the last call."""
         taken = list(self._newly_open_steps)
@@ -231,71 +252,6 @@
         """Applies one committed command."""
         return _HANDLER_BY_COMMAND[type(command)](self, index, command)
 
-    def encode(self) -> bytes:
-        """Encodes the state for a snapshot."""
-        return msgspec.msgpack.encode(
-            _Snapshot(
-                self.configuration,
-                self.is_open,
-                list(self.job_by_id.values()),
-                list(self.effect_by_images.values()),
-                self.early_cancellations.as_list(),
-                self._unwanted_runs(),
-            )
-        )
-
-    def _unwanted_runs(self) -> list[log_commands.Assignment]:
-        """Returns the runs that go on although their tasks are done."""
-        return [
-            log_commands.Assignment(task, run, key.worker, key.incarnation)
-            for key, runs in self.runs_by_worker.items()
-            for task, run in runs.items()
-            if (found := self.find_task(task)) is not None
-            and found[3].phase is model.TaskPhase.DONE
-        ]
-
-
-def decode(data: bytes) -> State:
-    """Decodes a snapshot and rebuilds the indexes.
-
-    Empty data yields the initial state.
-    """
-    state = State()
-    if not data:
-        return state
-    snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
-    state.configuration = snapshot.configuration
-    state.is_open = snapshot.is_open
-    state.effect_by_images = {
-        (item.filling, item.serving): item for item in snapshot.effects
-    }
-    state.early_cancellations = early_cancellations.EarlyCancellations(
-        snapshot.early_cancellations
-    )
-    for job in snapshot.jobs:
-        state.job_by_id[job.id] = job
-        if job.is_active and job.spec.repetitions:
-            state.timed_job_by_id[job.id] = job
-        for occurrence, steps in job.steps_by_occurrence.items():
-            for number, step in enumerate(steps):
-                key = StepKey(job.id, occurrence, number)
-                if job.is_active and step.waiting_count and _is_ready(job, key):
-                    state.open_steps[key] = step
-                _index_runs(state, key, step)
-    for item in snapshot.unwanted_runs:
-        worker_key = WorkerKey(item.worker, item.incarnation)
-        state.runs_by_worker.setdefault(worker_key, {})[item.task] = item.run
-    return state
-
-
-def _index_runs(state: State, key: StepKey, step: Step) -> None:
-    for index, task in enumerate(step.tasks):
-        if task.phase is not model.TaskPhase.ASSIGNED:
-            continue
-        worker_key = WorkerKey(model.WorkerId(task.worker), task.incarnation)
-        task_id = model.format_task_id(key.job, key.occurrence, key.step, index)
-        state.runs_by_worker.setdefault(worker_key, {})[task_id] = task.run
-
 
 _Handler = Callable[[State, int, Any], Result]
 _HANDLER_BY_COMMAND: dict[type[log_commands.Command], _Handler] = {}
@@ -339,7 +295,7 @@
     proposed = command.configuration
     current = state.configuration
     if current is None or proposed.version > current.version:
-        state.configuration = proposed
+        state.set_configuration(proposed)
         return Result.APPLIED
     if (
         proposed.version == current.version
@@ -361,6 +317,8 @@
         command.job, command.queue, command.spec, command.submitted_ms, index
     )
     state.job_by_id[command.job] = job
+    # The configuration may have changed since the command was proposed.
+    state.follow_queue(job)
     if command.spec.repetitions == 0:
         _begin_occurrence(state, job, 0)
     else:
@@ -378,7 +336,8 @@
         _open_if_ready(state, job, StepKey(job.id, occurrence, number))
 
 
-def _is_ready(job: Job, key: StepKey) -> bool:
+def is_ready(job: Job, key: StepKey) -> bool:
+    """Whether the tasks of a step that has begun may run."""
     if not model.has_readable_task_ids(job.id):
         return False
     steps = job.steps_by_occurrence[key.occurrence]
@@ -389,7 +348,7 @@
 
 def _open_if_ready(state: State, job: Job, key: StepKey) -> None:
     step = job.steps_by_occurrence[key.occurrence][key.step]
-    if step.waiting_count and _is_ready(job, key):
+    if step.waiting_count and is_ready(job, key):
         state.mark_open(key, step)
 
 
