Let the soak draw names, wide steps and queues that change

Clients of the process soak submit under paths that name no job, to queues whose prefix begins with that of another and that come and go, to a queue that is sent from one service to the other, and steps of 499 to 1,100 short tasks, as many as a worker lists ends, or more. In the end all queues are there, and the workers of one service are gone, so that a job that waits for them is found.

--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -59,6 +59,8 @@
     ("w6", "booking", ("b", "r-2")),
     ("w7", "depot", ("a", "r-3")),
     ("w8", "depot", ("a", "r-3")),
+    ("w9", "annex", ("a", "r-4")),
+    ("w10", "annex", ("b", "r-4")),
 )
 # They keep their labels, so that each job can end.
 STEADY_LABELS = ("w1", "w2", "w7")
@@ -94,7 +96,8 @@
         subnet = soak_nodes.free_subnet()
         count = DISKS + self._random.randint(1, 2)
         settings: dict[str, object] = {
-            "max_worker_lease_ms": int(soak_workers.HOLD_MAX_S * 1000)
+            "max_worker_lease_ms": int(soak_workers.HOLD_MAX_S * 1000),
+            "job_id_hex_digits": 16,
         }
         if seed % 3 == 0:
             # Reports then go through keepers that don't lead.
@@ -107,7 +110,11 @@
         ]
         self._controls = [node.control for node in self._nodes]
         is_guarded = seed % 2 == 0
-        self._guarded = {"booking": is_guarded, "depot": not is_guarded}
+        self._guarded = {
+            "booking": is_guarded,
+            "depot": not is_guarded,
+            "annex": is_guarded,
+        }
         self._operator = soak_clients.Operator(
             seed, self._controls, self._guarded
         )
@@ -395,6 +402,7 @@
         for client in self._clients:
             client.closing.set()
         self._record.add("faults have ended")
+        self._retire_service()
         until = time.monotonic() + END_TIMEOUT_S
         for client in self._clients:
             client.join(max(0.0, until - time.monotonic()))
@@ -406,7 +414,7 @@
         for client in self._clients:
             self._wait_for_jobs(client, until)
         until = time.monotonic() + END_TIMEOUT_S
-        if not self._operator.replace(until):
+        if not self._operator.replace(until, is_last=True):
             self._add_violation("no configuration acknowledged")
         while self._operator.read_version() != self._operator.version:
             if time.monotonic() > until:
@@ -418,6 +426,16 @@
         for node in self._nodes:
             node.check_at_end()
 
+    def _retire_service(self) -> None:
+        """Sends all queues to services that stay, and ends the others' workers."""
+        until = time.monotonic() + END_TIMEOUT_S
+        if not self._operator.replace(until, is_last=True):
+            self._add_violation("no configuration acknowledged")
+        for life in list(self._lives):
+            if life.service not in run_checks.SERVICE_BY_QUEUE.values():
+                life.crash()
+                self._lives.remove(life)
+
     def _add_violation(self, rule: str, **fields: object) -> None:
         with self._checks.lock:
             self._checks.add_violation(rule, **fields)
--- a/features/support/run_checks.py
+++ b/features/support/run_checks.py
@@ -8,6 +8,17 @@
 from typing import Any
 
 SERVICE_BY_QUEUE = {"/a/": "booking", "/b/": "booking", "/d/": "depot"}
+# Queues that are removed and added again. Their prefixes begin with that of another.
+NESTED_QUEUES = ("/b/v1.0/", "/b/v1.1/")
+# A queue that is sent from one service to the other. In the end it is sent to the
+# first one, and the workers of the other one are gone.
+MOVED_QUEUE = "/m/"
+MOVED_QUEUE_SERVICES = ("booking", "annex")
+SERVICES_BY_QUEUE = {
+    **{queue: (service,) for queue, service in SERVICE_BY_QUEUE.items()},
+    **dict.fromkeys(NESTED_QUEUES, (SERVICE_BY_QUEUE["/b/"],)),
+    MOVED_QUEUE: MOVED_QUEUE_SERVICES,
+}
 
 
 def step_key(task: str) -> str:
@@ -163,7 +174,7 @@
         self.starts += 1
         if payload != job.payload:
             self.add_violation("UNASKED payload", **fields)
-        if life.service != SERVICE_BY_QUEUE[job.queue]:
+        if life.service not in SERVICES_BY_QUEUE[job.queue]:
             self.add_violation("ROUTE service", **fields)
         if step.get("requirements", "") not in ("", *life.labels):
             self.add_violation("ROUTE label", labels=life.labels, **fields)
@@ -195,12 +206,14 @@
         self, life: Any, step: dict[str, Any], task: str, run: int
     ) -> None:
         limit = step.get("anti_affinity", 0)
+        if not limit:
+            return
         beside = [
             item
             for item in life.run_by_task.values()
             if step_key(item.task) == step_key(task) and item.task != task
         ]
-        if 0 < limit <= len(beside):
+        if limit <= len(beside):
             self.add_violation(
                 "ROUTE anti_affinity",
                 worker=life.name,
--- a/features/support/soak_clients.py
+++ b/features/support/soak_clients.py
@@ -23,6 +23,14 @@
 LONG_SHARE = 0.15
 LONG_MS = 9000
 FILLING_IMAGES = 5
+# Shares of the ordinary jobs that are submitted to queues which change, and that have
+# about as many short tasks as a worker lists ends, or more.
+NESTED_SHARE = 0.15
+MOVED_SHARE = 0.15
+WIDE_SHARE = 0.03
+WIDE_COUNTS = (499, 500, 501, 800, 1100)
+# Share of a client's calls that submit a job under a path that names none.
+UNNAMED_SHARE = 0.04
 
 
 class Connections:
@@ -97,6 +105,8 @@
     # A generator of its own, so that the jobs of a seed stay the same otherwise.
     if random.Random(f"long {job_id}").random() < LONG_SHARE:
         step["estimated_ms"] = LONG_MS
+    if queue == "/b/" and not ("fills" in step or "requirements" in step):
+        queue, step = _vary(job_id, queue, step)
     steps = [step]
     if choice.random() < 0.3:
         steps.append({**step, "count": choice.randint(1, 3), "after": [0]})
@@ -104,6 +114,28 @@
     return run_checks.Job(job_id, queue, payload, steps)
 
 
+def _vary(
+    job_id: str, queue: str, step: dict[str, Any]
+) -> tuple[str, dict[str, Any]]:
+    """Returns the queue and step of an ordinary job, or others in their place."""
+    # A generator of its own, so that the jobs of a seed stay the same otherwise.
+    choice = random.Random(f"vary {job_id}")
+    drawn = choice.random()
+    if drawn < WIDE_SHARE:
+        return queue, {
+            "count": choice.choice(WIDE_COUNTS),
+            "cpu": 10,
+            "mem_mb": 5,
+            "estimated_ms": 1500,
+        }
+    drawn -= WIDE_SHARE
+    if drawn < NESTED_SHARE:
+        return choice.choice(run_checks.NESTED_QUEUES), step
+    if drawn < NESTED_SHARE + MOVED_SHARE:
+        return run_checks.MOVED_QUEUE, step
+    return queue, step
+
+
 class Client(threading.Thread):
     """Submits jobs until told to stop, then until each answer is clear."""
 
@@ -128,6 +160,11 @@
         while not self.closing.wait(
             self._random.uniform(0.2, 1.8) * SUBMISSION_INTERVAL_S
         ):
+            if (
+                random.Random(f"name {self._submitted}").random()
+                < UNNAMED_SHARE
+            ):
+                self._submit_unnamed()
             choice = self._random.random()
             if choice < 0.15 and self._jobs:
                 self._resubmit()
@@ -171,6 +208,17 @@
                 return
             time.sleep(RESUBMIT_DELAY_S)
 
+    def _submit_unnamed(self) -> None:
+        """Submits a job under a path that names none; it must not be accepted."""
+        job_id = f"{self._number:04x}{self._submitted:012x}"
+        body = {"spec": "", "steps": [{"count": 1, "cpu": 100, "mem_mb": 10}]}
+        for path in (f"/b/v1.9/{job_id}", f"/b/{job_id}.0", "/b/x", "/d/0/1"):
+            address = self._random.choice(self._addresses)
+            status, _, _ = self._connections.call(address, "POST", path, body)
+            if 200 <= status < 300:
+                with self._checks.lock:
+                    self._checks.add_violation("ACCEPTED", path=path)
+
     def _resubmit(self) -> None:
         """Submits an earlier job once more, as retries may arrive late."""
         self._submit(self._random.choice(self._jobs))
@@ -229,10 +277,15 @@
         self._connections = Connections()
         self._version = 0
 
-    def replace(self, until: float) -> bool:
-        """Sends the next configuration; returns whether it was acknowledged."""
+    def replace(self, until: float, is_last: bool = False) -> bool:
+        """Sends the next configuration; returns whether it was acknowledged.
+
+        Args:
+            until: When to give up.
+            is_last: Whether it has all queues, and the moved one where it stays.
+        """
         self._version += self._random.randint(1, 3)
-        body = self._configuration()
+        body = self._configuration(is_last)
         path = "/api/config/replace"
         while time.monotonic() < until:
             address = self._random.choice(self._addresses)
@@ -265,10 +318,20 @@
     def version(self) -> int:
         return self._version
 
-    def _configuration(self) -> dict[str, Any]:
+    def _configuration(self, is_last: bool) -> dict[str, Any]:
+        service_by_prefix = dict(run_checks.SERVICE_BY_QUEUE)
+        first, *_ = run_checks.MOVED_QUEUE_SERVICES
+        service_by_prefix[run_checks.MOVED_QUEUE] = (
+            first
+            if is_last
+            else self._random.choice(run_checks.MOVED_QUEUE_SERVICES)
+        )
+        for prefix in run_checks.NESTED_QUEUES:
+            if is_last or self._random.random() < 0.5:
+                service_by_prefix[prefix] = service_by_prefix["/b/"]
         routes = [
             {
-                "name": f"r-{number}",
+                "name": f"r-{prefix}",
                 "host": HOST,
                 "path_prefix": prefix,
                 "kind": "unsafe",
@@ -280,7 +343,7 @@
                 "stretch": 1.5,
             }
             for number, (prefix, service) in enumerate(
-                run_checks.SERVICE_BY_QUEUE.items()
+                service_by_prefix.items()
             )
         ]
         for number in range(self._random.randrange(4)):
