Refuse a heartbeat without its lists of runs

Both lists are required: each heartbeat of a worker has them, empty if it is idle. Two rows of platform.feature accepted a heartbeat without one of them; they asked for the fault, and now expect that it is refused, as does a row without all three fields. Before the change these 3 rows fail.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -43,8 +43,10 @@
       | no gpu in its capacity   | refused  |
       | a capacity that is a number | refused |
       | no labels                | refused  |
-      | no runs                  | accepted |
-      | no ends                  | accepted |
+      | no runs                  | refused  |
+      | no ends                  | refused  |
+      | no clock, runs and ends  | refused  |
+      | empty runs and ends      | accepted |
       | a born time that is text | refused  |
       | an unknown ending        | refused  |
       | a born time of 70 bits   | refused  |
--- a/features/steps/odd_input_steps.py
+++ b/features/steps/odd_input_steps.py
@@ -163,6 +163,8 @@
     "labels": ["a", "r1"],
     "sequence": 1,
     "born": 1,
+    "running": [],
+    "ended": [],
 }
 CALL_BY_NAME: dict[str, tuple[Any, str, dict[str, Any], str]] = {
     # Handler, path, body, and a number in the body.
--- a/features/steps/platform_formats_steps.py
+++ b/features/steps/platform_formats_steps.py
@@ -80,6 +80,7 @@
         "born": 1700000000000,
         "capacity": {"cpu": 1000, "mem_mb": 100, "gpu": 0},
         "labels": ["a", "r1"],
+        "clock_ms": 482113,
         "running": [["0a.0.0.1", 1, "", 10, 900]],
         "ended": [[1, "0a.0.0.2", 1, "done", ""]],
     }
@@ -95,6 +96,11 @@
             del given_heartbeat["capacity"]["gpu"]
         case "a capacity that is a number":
             given_heartbeat["capacity"] = 1000
+        case "no clock, runs and ends":
+            for name in ("clock_ms", "running", "ended"):
+                del given_heartbeat[name]
+        case "empty runs and ends":
+            given_heartbeat.update(running=[], ended=[])
         case _ if fault in FIELD_BY_FAULT:
             del given_heartbeat[FIELD_BY_FAULT[fault]]
         case "a born time that is text":
--- a/features/steps/restarted_workers_steps.py
+++ b/features/steps/restarted_workers_steps.py
@@ -250,6 +250,8 @@
         "state": "ready",
         "sequence": 1,
         "born": 1796594272423,
+        "running": [],
+        "ended": [],
     }
     if value != "missing":
         heartbeat["clock_ms"] = json.loads(value)
