--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -303,7 +303,7 @@
     ),
     "steps do not wait for earlier ones": (
         state_lib,
-        "_is_ready",
+        "is_ready",
         _always_ready,
     ),
     "only applied assignments count for the limit per worker": (
