Keep lasting tasks from waiting for a worker that their failures put on probation

What callers saw: tasks that run until they are cancelled and fail in turn waited for 4, 8, then 16 s, with room for them on the only worker that fits.

Cause: failures of two jobs in a row put a worker on probation, twice as long each time, until a task succeeds there. Lasting tasks never end as done, so nothing ended the row; 'worker on probation' precedes each wait.

The failure of one that was at work doesn't count any more, and a probation keeps lasting tasks away for the length of a first one only. Failed searches of other tasks aren't taken for theirs.

--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -203,8 +203,8 @@
     context.worker_checks = 0
     original_changed_since = capacity_index.CapacityIndex.changed_since
 
-    def count_candidates(*args: Any) -> Any:
-        for candidate in original_changed_since(*args):
+    def count_candidates(*args: Any, **options: Any) -> Any:
+        for candidate in original_changed_since(*args, **options):
             context.worker_checks += 1
             yield candidate
 
--- a/fulmarrouter/cluster/capacity_index.py
+++ b/fulmarrouter/cluster/capacity_index.py
@@ -169,9 +169,21 @@
                 )
 
     def changed_since(
-        self, now: float, service: model.ServiceName, version: int
+        self,
+        now: float,
+        service: model.ServiceName,
+        version: int,
+        *,
+        for_lasting: bool,
     ) -> Iterator[placement.CandidateWorker]:
-        """Yields usable workers changed since a version, the latest first."""
+        """Yields usable workers changed since a version, the latest first.
+
+        Args:
+            now: Monotonic time.
+            service: Service of the workers.
+            version: Version of the index.
+            for_lasting: Whether they are to run tasks until these are cancelled.
+        """
         pool = self._pool_by_service.get(service)
         if pool is None:
             return
@@ -182,8 +194,10 @@
             if not view.takes_tasks(now) or now < view.backoff_until:
                 continue
             if (
-                view.worker_health.is_on_probation(now)
-                and not pool.ignores_probation
+                not pool.ignores_probation
+                and view.worker_health.is_on_probation(
+                    now, for_lasting=for_lasting
+                )
             ):
                 continue
             indexed.candidate.suspicion = (
--- a/fulmarrouter/cluster/dispatcher.py
+++ b/fulmarrouter/cluster/dispatcher.py
@@ -269,7 +269,7 @@
                     item.checkpoint,
                 )
             )
-            self._run_monitor.on_ended(now, view, item)
+            self._run_monitor.on_ended(now, state, view, item)
         return ends
 
     def on_proposed(self, report: requests.WorkerReport, index: int) -> None:
--- a/fulmarrouter/cluster/health.py
+++ b/fulmarrouter/cluster/health.py
@@ -44,6 +44,7 @@
         stalled_jobs: Jobs with a run that stalled here since the last success.
         last_failure_at: When a run last failed here.
         probation_until: The worker gets no new tasks before this time.
+        probation_began_at: When its latest probation began.
         probation_s: Length of the next probation.
         on_trial: Set from the start of a probation until a task succeeds.
             After the probation, the worker gets one task at a time.
@@ -53,6 +54,7 @@
     stalled_jobs: list[model.JobId] = dataclasses.field(default_factory=list)
     last_failure_at: float = float("-inf")
     probation_until: float = 0.0
+    probation_began_at: float = float("-inf")
     probation_s: float = INITIAL_PROBATION_S
     on_trial: bool = False
 
@@ -86,6 +88,7 @@
         """Puts the worker on probation, unless it already is."""
         if now < self.probation_until:
             return
+        self.probation_began_at = now
         self.probation_until = now + self.probation_s
         self.probation_s = min(MAX_PROBATION_S, 2 * self.probation_s)
         self.on_trial = True
@@ -98,6 +101,15 @@
             return Suspicion.OLD
         return Suspicion.RECENT
 
-    def is_on_probation(self, now: float) -> bool:
-        """Whether the worker must not get new tasks."""
+    def is_on_probation(self, now: float, *, for_lasting: bool = False) -> bool:
+        """Whether the worker must not get new tasks.
+
+        Args:
+            now: Monotonic time.
+            for_lasting: Whether these are tasks that run until they are cancelled.
+                Further probations don't keep those away for longer: they serve
+                their users all the time, and no other worker may fit.
+        """
+        if for_lasting and now >= self.probation_began_at + INITIAL_PROBATION_S:
+            return False
         return now < self.probation_until
--- a/fulmarrouter/cluster/planner.py
+++ b/fulmarrouter/cluster/planner.py
@@ -278,7 +278,10 @@
         checks = 0
         is_exhaustive = True
         changed = self._capacity_index.changed_since(
-            now, search.service, searched_version
+            now,
+            search.service,
+            searched_version,
+            for_lasting=spec.runs_until_cancelled,
         )
         for candidate in changed:
             checks += 1
--- a/fulmarrouter/cluster/run_monitor.py
+++ b/fulmarrouter/cluster/run_monitor.py
@@ -28,25 +28,40 @@
         self._failed_workers_by_job: dict[model.JobId, set[model.WorkerId]] = {}
 
     def on_ended(
-        self, now: float, view: fleet_lib.WorkerView, item: requests.EndedRun
+        self,
+        now: float,
+        state: state_lib.State,
+        view: fleet_lib.WorkerView,
+        item: requests.EndedRun,
     ) -> None:
-        """Updates a worker's health from the outcome of a run."""
+        """Updates a worker's health from the outcome of a run.
+
+        Tasks that run until they are cancelled may fail at any time. That one was at
+        work shows that its worker can run it, so its failure doesn't count.
+        """
         view.stop_requested.pop(item.task, None)
         match item.outcome:
             case model.Outcome.DONE:
                 view.worker_health.record_success()
             case model.Outcome.FAILED:
-                parts = model.parse_task_id(item.task)
-                if parts is None:
+                found = state.find_task(item.task)
+                if found is None:
+                    return
+                job = found[0].id
+                if state.spec_of(
+                    found[1]
+                ).runs_until_cancelled and view.progress.was_ready(
+                    item.task, item.run
+                ):
                     return
                 failed_workers = self._failed_workers_by_job.setdefault(
-                    parts[0], set()
+                    job, set()
                 )
                 failed_workers.add(view.key.worker)
                 # A job that fails on several workers is probably at fault itself.
                 if len(failed_workers) > 1:
                     return
-                if view.worker_health.record_failure(now, parts[0]):
+                if view.worker_health.record_failure(now, job):
                     self._log_probation(now, view, "failures")
             case model.Outcome.REFUSED:
                 view.backoff_until = now + REFUSAL_BACKOFF_S
--- a/fulmarrouter/cluster/search_cache.py
+++ b/fulmarrouter/cluster/search_cache.py
@@ -12,9 +12,10 @@
 from fulmarrouter.cluster import model
 from fulmarrouter.cluster import state as state_lib
 
-# Service, whether the tasks are filling, whether they are starved, whether gaps
-# are protected from them, and the image of filling tasks.
-SearchKind = tuple[model.ServiceName, bool, bool, bool, str]
+# Service, whether the tasks are filling, whether they run until they are cancelled,
+# whether they are starved, whether gaps are protected from them, and the image of
+# filling tasks.
+SearchKind = tuple[model.ServiceName, bool, bool, bool, bool, str]
 
 # Failed searches that are remembered per kind; the oldest are dropped first.
 MAX_FAILURES_PER_KIND = 16
@@ -63,6 +64,7 @@
         return (
             self.service,
             self.spec.fills,
+            self.spec.runs_until_cancelled,
             self.is_starved,
             self.protected_from_millicores > 0,
             image,
--- a/fulmarrouter/cluster/stall_detection.py
+++ b/fulmarrouter/cluster/stall_detection.py
@@ -55,6 +55,18 @@
             return 0.0
         return now - last.changed_at
 
+    def was_ready(self, task: model.TaskId, run: int) -> bool:
+        """Whether a run was last observed with all progress that there is.
+
+        For a task that runs until it is cancelled, this means that it was at work.
+        """
+        last = self._last_progress_by_task.get(task)
+        return (
+            last is not None
+            and last.run == run
+            and last.percent >= READY_PERCENT
+        )
+
     def remaining_s(self, now: float, task: model.TaskId) -> float | None:
         """Returns the time that a run still needs at the pace that it has had.
 
