--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -100,6 +100,7 @@
         folder: Data folder, if the process has a disk.
         extra_settings: Settings to add; they may override role, name and
             domain.
+        is_first_start: Whether it is the first start of the deployment.
     """
 
     def __init__(
@@ -108,6 +109,7 @@
         seeds: list[str],
         folder: pathlib.Path | None,
         extra_settings: dict[str, Any] | None = None,
+        is_first_start: bool = True,
     ) -> None:
         self.host = f"127.0.1.{number}"
         settings = {
@@ -121,7 +123,7 @@
             "readiness": f"{self.host}:{READINESS_PORT}",
             "control": f"{self.host}:{CONTROL_PORT}",
             "seeds": [f"{seed}:{CONTROL_PORT}" for seed in seeds],
-            "found_deployment": True,
+            "found_deployment": is_first_start,
             "data_folder": str(folder) if folder else "",
         }
         file = tempfile.NamedTemporaryFile(  # noqa: SIM115
--- a/fulmarrouter/cluster/identity.py
+++ b/fulmarrouter/cluster/identity.py
@@ -1,9 +1,9 @@
 """The identity under which a keeper votes; it is lost with the disk."""
 
-import os
 import pathlib
 import secrets
 
+from fulmarrouter import durable_files
 from fulmarrouter import errors
 
 FILE_NAME = "keeper-id"
@@ -23,17 +23,7 @@
             if stored:
                 return stored
         keeper_id = "k" + secrets.token_hex(8)
-        temporary = folder / (FILE_NAME + ".new")
-        with temporary.open("w", encoding="ascii") as file:
-            file.write(keeper_id)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(temporary, path)
-        descriptor = os.open(folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        durable_files.replace(path, keeper_id.encode("ascii"))
         return keeper_id
     except OSError as error:
         raise errors.StorageError(f"{folder}: {error}") from error
--- a/fulmarrouter/cluster/node.py
+++ b/fulmarrouter/cluster/node.py
@@ -32,6 +32,7 @@
 from fulmarrouter.cluster import controller_setup
 from fulmarrouter.cluster import decision_log
 from fulmarrouter.cluster import disk_writer
+from fulmarrouter.cluster import founding
 from fulmarrouter.cluster import gateway as gateway_lib
 from fulmarrouter.cluster import graceful_shutdown
 from fulmarrouter.cluster import identity
@@ -117,8 +118,15 @@
         self._disk: disk_writer.DiskWriter | None = None
         self._storage: storage_lib.Storage | None = None
         self._identity = settings.name
+        folder: pathlib.Path | None = None
         if settings.data_folder:
-            self._open_keeper(pathlib.Path(settings.data_folder))
+            folder = pathlib.Path(settings.data_folder)
+            self._open_keeper(folder)
+        self._founding = founding.Founding(
+            folder,
+            settings.found_deployment,
+            [self._host] == list(map(addresses.host_of, settings.seeds[:1])),
+        )
         self._peers = connections.Connections(
             self._identity,
             (settings.host, settings.peer_port),
@@ -324,6 +332,8 @@
         now = time.monotonic()
         self._run_keeper(now)
         self.gateway.tick(now)
+        if self.gateway.leader:
+            self._founding.settle()
         self._announce_keeper(now)
         self._log_decisions(now)
         if self._settings_watcher is not None:
@@ -560,13 +570,12 @@
         Only the first seed of a new deployment chooses one, and only while it
         knows no leader.
         """
-        seeds = self.settings.seeds
-        if not self.settings.found_deployment or not seeds:
-            return ""
-        if addresses.host_of(seeds[0]) != self._host or self.gateway.leader:
+        if self.gateway.leader:
             return ""
         wanted_voters = self.settings.tolerated_losses.voter_count()
-        return self._announcements.choose_founder(now, wanted_voters)
+        return self._founding.choose_founder(
+            now, self._announcements, wanted_voters
+        )
 
     def _on_chosen_as_founder(self) -> None:
         """Founds the quorum, if this keeper is blank and allowed to."""
@@ -574,7 +583,7 @@
         if (
             controller is not None
             and controller.replica.is_blank
-            and self.settings.found_deployment
+            and self._founding.may_found
         ):
             self._found_quorum()
 
@@ -599,7 +608,7 @@
             self._own_address(),
             self.settings.domain,
             replica.is_blank,
-            self.settings.found_deployment,
+            self._founding.may_found,
         )
         targets = [controller.leader_address() or self.gateway.leader]
         if controller.is_active_leader:
--- a/fulmarrouter/storage.py
+++ b/fulmarrouter/storage.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from fulmarrouter import consensus
+from fulmarrouter import durable_files
 from fulmarrouter import errors
 from fulmarrouter import messages
 from fulmarrouter import raft_log
@@ -258,7 +259,7 @@
         )
         # A process that was killed may have written records without a sync.
         os.fdatasync(self._log_descriptor)
-        self._sync_folder()
+        durable_files.sync_folder(self.folder)
         self._synced_size = os.fstat(self._log_descriptor).st_size
 
     def _append_record(self, payload: bytes) -> None:
@@ -288,23 +289,10 @@
 
     def _replace_file(self, name: str, data: bytes) -> None:
         """Replaces a file atomically and durably."""
-        temporary = self.folder / (name + ".new")
-        with temporary.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(temporary, self.folder / name)
-        self._sync_folder()
+        durable_files.replace(self.folder / name, data)
         self.bytes_written += len(data)
         self.syncs += 1
 
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
 
 def initialize(
     folder: pathlib.Path, membership: messages.Membership, state: bytes
