Don't take one queue for another one of the same name

Names of queues need not be unique. A job of one was placed by the definition of the other, found by name, since jobs follow the newest definition of their queue. A name that several queues have tells nothing now, and the host and path prefix decide. Found on reading; the two new rows of queue_changes.feature cover it.

--- a/features/queue_changes.feature
+++ b/features/queue_changes.feature
@@ -123,3 +123,13 @@
       | sent to t | q    | 1     |
       | renamed   | q2   | 1     |
       | renamed   | q    | 0     |
+
+  Scenario Outline: Two queues have the same name, and that of <changed> is sent to t
+    Given jobs of two queues of service s that are both named q
+    When the queue of <changed> is sent to t
+    Then the job of <changed> is started on t, and the other one on s
+
+    Examples:
+      | changed |
+      | /q/     |
+      | /r/     |
--- a/features/steps/queue_changes_steps.py
+++ b/features/steps/queue_changes_steps.py
@@ -373,3 +373,37 @@
         harness.state, harness.dispatcher.fleet, model.QueueName(name)
     )
     assert found == count, found
+
+
+@given("jobs of two queues of service s that are both named q")
+def step_same_name(context: Any) -> None:
+    queues = (QUEUE, msgspec.structs.replace(OTHER, name=QUEUE.name))
+    cluster = context.cluster = _Cluster(*queues)
+    cluster.pass_time(0.5)
+    for job, queue in zip(("0a", "0b"), queues, strict=True):
+        cluster.submit(
+            STEPS_BY_WORK["an ordinary task"], model.JobId(job), queue
+        )
+    cluster.pass_time(0.5)
+
+
+@when("the queue of {prefix} is sent to t")
+def step_send_one(context: Any, prefix: str) -> None:
+    cluster = context.cluster
+    cluster.queues = [
+        msgspec.structs.replace(queue, service=model.ServiceName("t"))
+        if queue.path_prefix == prefix
+        else queue
+        for queue in cluster.queues
+    ]
+    cluster.replace_queues()
+
+
+@then("the job of {prefix} is started on t, and the other one on s")
+def step_started_by_prefix(context: Any, prefix: str) -> None:
+    cluster = context.cluster
+    cluster.rooms = dict.fromkeys(cluster.rooms, MILLICORES)
+    cluster.pass_time(1.0)
+    jobs = ("0a", "0b") if prefix == "/q/" else ("0b", "0a")
+    expected = {("t", f"{jobs[0]}.0.0.0"), ("s", f"{jobs[1]}.0.0.0")}
+    assert set(cluster.started) == expected, cluster.started
--- a/fulmarrouter/cluster/queue_changes.py
+++ b/fulmarrouter/cluster/queue_changes.py
@@ -1,5 +1,7 @@
 """Finds the newest definition of a queue in a configuration."""
 
+import collections
+
 from fulmarrouter.cluster import model
 
 
@@ -12,7 +14,11 @@
 
     def __init__(self, configuration: model.Configuration | None) -> None:
         queues = configuration.queues if configuration is not None else ()
-        self._by_name = {item.name: item for item in queues}
+        # Names need not be unique.
+        counts = collections.Counter(item.name for item in queues)
+        self._by_name = {
+            item.name: item for item in queues if counts[item.name] == 1
+        }
         self._by_location = {
             (item.host, item.path_prefix): item for item in queues
         }
@@ -21,7 +27,8 @@
         """Returns what has become of a queue.
 
         A queue keeps its name when it is moved to another path, and its host and
-        path prefix when it is renamed. The name decides if both are in use.
+        path prefix when it is renamed. The name decides if both are in use, unless
+        several queues have it.
 
         Args:
             queue: The last known definition, which is returned if the queue has
