Refuse a job under the ID of another queue's job

Cause: jobs are known by their IDs only, and the queue of a path was used for new jobs only. The IDs of tasks don't name the queue, so an ID can belong to one job.

A submission under an ID that another queue's job has, applied or proposed, is answered 409, reading and cancelling there 410. The queue of a job is that of its newest definition. Nothing changes in how commands are applied.

job_ids.feature: of 6 new rows, the 5 on the second queue fail before.

--- a/features/job_ids.feature
+++ b/features/job_ids.feature
@@ -64,6 +64,24 @@
       | kept             | /a/v1.2/         | /a/v1.2/00000000000000a1 | JobView       |
       | beside a new one | /a/ /a/v1.2/ /b/ | /a/v1.2/00000000000000a1 | JobView       |
 
+  # Guards against a job that never runs, since its ID is that of another queue's job,
+  # and against a caller who cancels the job of another queue.
+  Scenario Outline: A job of <queue> has an ID, and <path> is sent to <request> a job <when>
+    Given a leader whose jobs have IDs of 16 hexadecimal digits, and the queues /a/ /b/
+    When the path <queue>00000000000000a1 is sent to submit a job
+    And <path> is sent to <request> a job <when>
+    Then that is answered <answer>
+    And the job 00000000000000a1 is active, of the queue <queue>
+
+    Examples:
+      | queue | path                  | request | when       | answer      |
+      | /a/   | /a/00000000000000a1   | submit  | afterwards | Accepted    |
+      | /a/   | /b/00000000000000a1   | submit  | afterwards | KEY_REUSED  |
+      | /a/   | /b/00000000000000a1   | show    | afterwards | NO_SUCH_JOB |
+      | /a/   | /b/00000000000000a1   | cancel  | afterwards | NO_SUCH_JOB |
+      | /a/   | /b/00000000000000a1   | submit  | before the first one is committed | KEY_REUSED |
+      | /a/   | /b/00000000000000a1   | cancel  | before the first one is committed | NO_SUCH_JOB |
+
   Scenario Outline: Where the settings prescribe no digits, the name <name> is answered <answer>
     Given a leader whose jobs have IDs of 0 hexadecimal digits, and the queues /a/
     When the path /a/<name> is sent to submit a job
--- a/features/steps/job_ids_steps.py
+++ b/features/steps/job_ids_steps.py
@@ -12,8 +12,10 @@
 from features.steps import platform_steps
 from features.steps import reporting_steps
 from fulmarrouter import commands
+from fulmarrouter import ids
 from fulmarrouter import messages
 from fulmarrouter import raft_log
+from fulmarrouter import read_index
 from fulmarrouter import storage
 from fulmarrouter.cluster import identity
 from fulmarrouter.cluster import log_commands
@@ -81,9 +83,13 @@
     " queues {locations}"
 )
 def step_leader_with_queues(context: Any, digits: int, locations: str) -> None:
+    _start(context, digits)
+    _replace_queues(context, locations)
+
+
+def _start(context: Any, digits: int) -> None:
     context.leader = reporting_steps.SingleVoterLeader(job_id_hex_digits=digits)
     context.version = 0
-    _replace_queues(context, locations)
 
 
 @when("the queues are changed to {locations}")
@@ -96,6 +102,38 @@
     _send(context, REQUEST_BY_VERB[verb](*_split(location)))
 
 
+@when("{location} is sent to {verb:w} a job afterwards")
+def step_request_afterwards(context: Any, location: str, verb: str) -> None:
+    step_request(context, verb, location)
+
+
+@when("{location} is sent to {verb:w} a job before the first one is committed")
+def step_request_at_once(context: Any, location: str, verb: str) -> None:
+    # Both are sent again to a leader that has applied neither.
+    _start(context, 16)
+    _replace_queues(context, "/a/ /b/")
+    first = requests.SubmitJob("h", "/a/00000000000000a1", _spec("job"))
+    leader = context.leader
+    for number, request in enumerate(
+        (first, REQUEST_BY_VERB[verb](*_split(location)))
+    ):
+        client = read_index.Client(ids.ConnectionId(1), ids.CallId(number))
+        leader.controller.on_request(leader.now, 0, client, request)
+    context.replies = [
+        item.reply
+        for _ in range(TURNS)
+        for item in leader.turn()
+        if item.client.call == 1
+    ]
+
+
+@then("the job {job} is active, of the queue {prefix}")
+def step_active_job(context: Any, job: str, prefix: str) -> None:
+    known = context.leader.controller.state.job_by_id[job]
+    assert known.is_active
+    assert known.newest_queue.path_prefix == prefix, known.newest_queue
+
+
 @then("that is answered {answer:w}")
 def step_answer(context: Any, answer: str) -> None:
     (reply,) = context.replies
--- a/features/steps/job_retention_steps.py
+++ b/features/steps/job_retention_steps.py
@@ -8,6 +8,7 @@
 
 from features.steps import filling_steps
 from fulmarrouter.cluster import admission
+from fulmarrouter.cluster import job_requests
 from fulmarrouter.cluster import log_commands
 from fulmarrouter.cluster import model
 
@@ -48,7 +49,8 @@
 
 @then("a new job is {verdict}")
 def step_new_job(context: Any, verdict: str) -> None:
-    refusal = admission.refusal(context.harness.state, 0)
+    target = job_requests.Target(filling_steps.QUEUE, model.JobId("new"))
+    refusal = admission.refusal(context.harness.state, {}, target)
     assert (refusal is None) == (verdict == "accepted"), refusal
 
 
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -97,7 +97,7 @@
         self._answered: list[Answered] = []
         self._result_by_index: dict[int, state_lib.Result] = {}
         self._run_log = run_log.RunLog(self.decisions)
-        self._proposed_jobs: set[model.JobId] = set()
+        self._proposed_queues: dict[model.JobId, model.QueueName] = {}
         self._snapshot_index = replica.log.snapshot.last_index
         self._membership_due = 0.0
         self.has_pending_work = False
@@ -222,25 +222,19 @@
         if isinstance(target, job_requests.Unresolved) or target.job is None:
             self._read_index_queue.add(now, client, request)
             return
-        # A copy of a submission must not be refused while the first one may still
-        # be accepted.
-        if (
-            target.job not in self.state.job_by_id
-            and target.job not in self._proposed_jobs
-        ):
-            refused = admission.refusal(self.state, len(self._proposed_jobs))
-            if refused is not None:
-                self.decisions.add(
-                    "job refused", job=target.job, reason=refused.reason
-                )
-                self._answered.append(Answered(client, refused))
-                return
+        refused = admission.refusal(self.state, self._proposed_queues, target)
+        if refused is not None:
+            self.decisions.add(
+                "job refused", job=target.job, reason=refused.reason
+            )
+            self._answered.append(Answered(client, refused))
+            return
         index = self._propose(
             log_commands.SubmitJob(
                 target.job, target.queue, request.spec, wall_ms
             )
         )
-        self._proposed_jobs.add(target.job)
+        self._proposed_queues[target.job] = target.queue.name
         self._read_index_queue.add(now, client, request, index)
 
     def _on_cancel(
@@ -248,7 +242,13 @@
     ) -> None:
         target = self._resolve(request)
         index = 0
-        if isinstance(target, job_requests.Target) and target.job is not None:
+        if (
+            isinstance(target, job_requests.Target)
+            and target.job is not None
+            and not admission.belongs_to_other_queue(
+                self.state, self._proposed_queues, target
+            )
+        ):
             index = self._propose(log_commands.CancelJob(target.job))
         self._read_index_queue.add(now, client, request, index)
 
@@ -426,7 +426,7 @@
             self._refuse(item.client, code, leader=self.leader_address())
         self._result_by_index = {}
         self._run_log.start_term()
-        self._proposed_jobs = set()
+        self._proposed_queues = {}
 
     # Output.
 
@@ -490,7 +490,7 @@
                 self.dispatcher.planner.on_assigned(command)
                 self._run_log.on_assigned(now, self.state, index, command)
             case log_commands.SubmitJob():
-                self._proposed_jobs.discard(command.job)
+                self._proposed_queues.pop(command.job, None)
                 self._result_by_index[index] = result
             case log_commands.CancelJob() | log_commands.ReplaceConfiguration():
                 self._result_by_index[index] = result
--- a/fulmarrouter/cluster/job_requests.py
+++ b/fulmarrouter/cluster/job_requests.py
@@ -102,10 +102,12 @@
                 )
             )
         return requests.Refused(codes.Code.BAD_REQUEST, "the path names no job")
+    job = state.job_by_id.get(target.job)
+    if job is not None and job.newest_queue.name != target.queue.name:
+        return requests.Refused(codes.Code.NO_SUCH_JOB)
     if not isinstance(request, requests.ShowTarget):
         # The queue was added after the request had arrived.
         return requests.Refused(codes.Code.NO_SUCH_QUEUE)
-    job = state.job_by_id.get(target.job)
     if job is None:
         return requests.Refused(codes.Code.NO_SUCH_JOB)
     return requests.JobView(job.phase, job.has_started)
