Keep jobs reachable that were accepted under names that are no IDs

Found on reading the change: an earlier version may hold a lasting job with such a name, readable or not. It runs, or has been cancelled by the new leader, but its caller could neither read nor cancel it any more, since its path was refused as no ID. A name that a known job has still names that job. 5 rows of job_ids.feature.

--- a/features/job_ids.feature
+++ b/features/job_ids.feature
@@ -112,6 +112,20 @@
       | timed job | v1.2/00000000000000a1 | its log      | CANCELLED |
       | timed job | v1.2/00000000000000a1 | its snapshot | CANCELLED |
 
+  # Guards against a job that was accepted under such a name and can't be cancelled.
+  Scenario Outline: A leader starts with a job named <name>, and it is sent to <request> the job
+    Given a leader that starts with a job named <name> in its snapshot
+    When its callers send <request> for the job named <name>
+    Then that is answered <answer>
+
+    Examples:
+      | name                  | request | answer   |
+      | x                     | show    | JobView  |
+      | x                     | cancel  | Accepted |
+      | x                     | submit  | Accepted |
+      | a/b                   | cancel  | Accepted |
+      | v1.2/00000000000000a1 | show    | JobView  |
+
   Scenario: Processes start on a disk that holds such a job
     Given a disk that holds a job named v1.2/00000000000000a1
     And 3 processes of a cluster with that disk and two others, and 1 without
--- a/features/steps/job_ids_steps.py
+++ b/features/steps/job_ids_steps.py
@@ -155,7 +155,17 @@
         return
     state = state_lib.State()
     state.apply(1, command)
-    context.leader = reporting_steps.SingleVoterLeader(state=state)
+    context.leader = reporting_steps.SingleVoterLeader(
+        state=state, job_id_hex_digits=16
+    )
+
+
+@when("its callers send {verb:w} for the job named {name}")
+def step_request_stored(context: Any, verb: str, name: str) -> None:
+    configuration = model.Configuration(1, "1", b"", (filling_steps.QUEUE,), ())
+    _send(context, requests.ReplaceConfiguration(configuration))
+    prefix = filling_steps.QUEUE.path_prefix
+    _send(context, REQUEST_BY_VERB[verb]("host", prefix + name))
 
 
 @when("another job is submitted to it")
--- a/fulmarrouter/cluster/controller.py
+++ b/fulmarrouter/cluster/controller.py
@@ -41,7 +41,6 @@
 # service with fewer, since the deployment may have fewer disks.
 OPEN_TIMEOUT_S = 5.0
 
-
 Client = read_index.Client
 Answered = read_index.Answered[requests.AnyReply]
 
@@ -255,9 +254,12 @@
     def _resolve(
         self, request: requests.SubmitJob | requests.CancelJob
     ) -> job_requests.Target | job_requests.Unresolved:
-        digits = self._settings.job_id_hex_digits
         return job_requests.resolve_path(
-            self.state.configuration, request.host, request.path, digits
+            self.state.configuration,
+            request.host,
+            request.path,
+            self._settings.job_id_hex_digits,
+            self.state.job_by_id,
         )
 
     def _propose(self, command: log_commands.AnyCommand) -> int:
@@ -566,10 +568,9 @@
                 | requests.CancelJob()
                 | requests.ShowTarget()
             ):
-                fleet = self.dispatcher.fleet
                 digits = self._settings.job_id_hex_digits
                 return job_requests.reply_from_state(
-                    self.state, fleet, item.request, digits
+                    self.state, self.dispatcher.fleet, item.request, digits
                 )
             case _:
                 return requests.Refused(codes.Code.INVALID)
--- a/fulmarrouter/cluster/job_requests.py
+++ b/fulmarrouter/cluster/job_requests.py
@@ -3,6 +3,7 @@
 Also determines which occurrences of timed jobs are due.
 """
 
+from collections.abc import Container
 import dataclasses
 import enum
 
@@ -37,6 +38,7 @@
     host: str,
     path: str,
     job_id_hex_digits: int = 0,
+    known_jobs: Container[model.JobId] = (),
 ) -> Target | Unresolved:
     """Finds the queue of a host with the longest matching path prefix.
 
@@ -50,6 +52,8 @@
         path: The path of the request.
         job_id_hex_digits: Number of hexadecimal digits of a job's ID; 0 if that
             isn't prescribed.
+        known_jobs: Jobs that have been accepted. Earlier versions may have taken
+            other names for IDs.
     """
     if configuration is None:
         return Unresolved.NO_CONFIGURATION
@@ -63,12 +67,13 @@
             longest_match = queue
     if longest_match is None:
         return Unresolved.NO_SUCH_QUEUE
-    job_name = path[len(longest_match.path_prefix) :]
-    if not job_name:
+    name = path[len(longest_match.path_prefix) :]
+    if not name:
         return Target(longest_match, None)
-    if not model.is_job_id(job_name, job_id_hex_digits):
+    job = model.JobId(name)
+    if not model.is_job_id(name, job_id_hex_digits) and job not in known_jobs:
         return Unresolved.NO_JOB_ID
-    return Target(longest_match, model.JobId(job_name))
+    return Target(longest_match, job)
 
 
 _REFUSAL_BY_REASON = {
@@ -90,7 +95,11 @@
 ) -> requests.AnyReply:
     """Builds the reply to a caller for whom nothing has been proposed."""
     target = resolve_path(
-        state.configuration, request.host, request.path, job_id_hex_digits
+        state.configuration,
+        request.host,
+        request.path,
+        job_id_hex_digits,
+        state.job_by_id,
     )
     if isinstance(target, Unresolved):
         return _REFUSAL_BY_REASON[target]
