Follow the queue of ended jobs too

Found on reading the change: a job that had ended before its queue was renamed, or removed and added under another name at the same path, was answered as unknown (410), since a job is looked up in its queue and only active jobs followed theirs. 4 rows of job_ids.feature; the 2 on ended jobs failed before.

--- a/features/job_ids.feature
+++ b/features/job_ids.feature
@@ -64,6 +64,21 @@
       | kept             | /a/v1.2/         | /a/v1.2/00000000000000a1 | JobView       |
       | beside a new one | /a/ /a/v1.2/ /b/ | /a/v1.2/00000000000000a1 | JobView       |
 
+  # Guards against a job that isn't known any more, since its queue has another name.
+  Scenario Outline: The queue of <state> job is <change>, and the job is asked for
+    Given a leader whose jobs have IDs of 16 hexadecimal digits, and the queues /a/
+    When the path /a/00000000000000a1 is sent to submit a job
+    And <state> job is ended if it is to be, and its queue is <change>
+    And the path /a/00000000000000a1 is sent to show a job
+    Then that is answered JobView
+
+    Examples:
+      | state     | change                         |
+      | an active | renamed                        |
+      | an ended  | renamed                        |
+      | an active | removed and added under a name |
+      | an ended  | removed and added under a name |
+
   # Guards against a job that never runs, since its ID is that of another queue's job,
   # and against a caller who cancels the job of another queue.
   Scenario Outline: A job of <queue> has an ID, and <path> is sent to <request> a job <when>
--- a/features/steps/job_ids_steps.py
+++ b/features/steps/job_ids_steps.py
@@ -50,13 +50,13 @@
     return (host, path) if separator else ("h", location)
 
 
-def _replace_queues(context: Any, locations: str) -> None:
+def _replace_queues(context: Any, locations: str, name: str = "q") -> None:
     queues = []
     for location in locations.split():
         host, prefix = _split(location)
         queues.append(
             model.Queue(
-                model.QueueName(f"q {location}"),
+                model.QueueName(f"{name} {location}"),
                 host,
                 prefix,
                 filling_steps.SERVICE,
@@ -160,6 +160,16 @@
     )
 
 
+@when("{state} job is ended if it is to be, and its queue is {change}")
+def step_rename_queue(context: Any, state: str, change: str) -> None:
+    if state == "an ended":
+        cancelling = requests.CancelJob("h", "/a/00000000000000a1")
+        _send(context, cancelling)
+    if "removed" in change:
+        _replace_queues(context, "/b/")
+    _replace_queues(context, "/a/", name="other")
+
+
 @when("its callers send {verb:w} for the job named {name}")
 def step_request_stored(context: Any, verb: str, name: str) -> None:
     configuration = model.Configuration(1, "1", b"", (filling_steps.QUEUE,), ())
--- a/fulmarrouter/cluster/state.py
+++ b/fulmarrouter/cluster/state.py
@@ -223,10 +223,12 @@
             self.follow_queue(job)
 
     def follow_queue(self, job: Job) -> None:
-        """Records the newest definition of an active job's queue."""
-        if job.is_active:
-            newest = self._queue_definitions.newest(job.newest_queue)
-            job.changed_queue = newest if newest != job.queue else None
+        """Records the newest definition of a job's queue.
+
+        Also of an ended job, which is looked up by its queue.
+        """
+        newest = self._queue_definitions.newest(job.newest_queue)
+        job.changed_queue = newest if newest != job.queue else None
 
     def take_newly_open_steps(self) -> list[StepKey]:
         """Returns the steps marked as open since the last call."""
