--- a/features/steps/earlier_versions_steps.py
+++ b/features/steps/earlier_versions_steps.py
@@ -13,7 +13,7 @@
 from fulmarrouter.cluster import snapshots
 from fulmarrouter.cluster import state as state_lib
 
-LOGS_PATH = pathlib.Path(__file__).parents[1] / "support/data/earlier_logs.json"
+LOGS_PATH = pathlib.Path(__file__).parents[1] / "support/earlier_logs.json"
 
 
 @when("the log of the earlier version, {name}, is applied")
