Simplify the steps on changed queues, and draw unnamed paths once a call

Clients of the soak drew by the number of their last job, so that the same draw counted for several calls.

--- a/features/steps/queue_changes_steps.py
+++ b/features/steps/queue_changes_steps.py
@@ -1,6 +1,6 @@
 """Steps on queues that change while work of them waits or runs."""
 
-import re
+from collections.abc import Sequence
 from typing import Any
 
 from behave import given
@@ -149,17 +149,11 @@
 
     def end_runs(self, outcome: model.Outcome) -> None:
         """Ends all runs of the worker of service s."""
-        for number, (task, run) in enumerate(self.running["s"].items()):
-            end = requests.EndedRun(number + 1, task, run, outcome, "")
-            self.harness.commit(
-                log_commands.EndRuns(
-                    (
-                        log_commands.RunEnd(
-                            end.task, end.run, model.WorkerId("ws"), 1, outcome
-                        ),
-                    )
-                )
-            )
+        ends = tuple(
+            log_commands.RunEnd(task, run, model.WorkerId("ws"), 1, outcome)
+            for task, run in self.running["s"].items()
+        )
+        self.harness.commit(log_commands.EndRuns(ends))
         self.running["s"] = {}
 
     def change_leader(self, is_earlier: bool) -> None:
@@ -209,10 +203,9 @@
 
 @when("the queue is {changes}")
 def step_change(context: Any, changes: str) -> None:
-    for change in re.split(", (?!another takes)", changes):
-        for part in change.split(", "):
-            if part != "kept":
-                context.cluster.change(part)
+    for change in changes.split(", "):
+        if change != "kept":
+            context.cluster.change(change)
 
 
 @when(
@@ -284,8 +277,8 @@
     assert [service for service, _ in cluster.started] == ["t"], cluster.started
 
 
-def _submit_to_both(context: Any, **fields: str) -> None:
-    queues = _with_fields(**fields)
+def _submit_to_both(context: Any, queues: Sequence[model.Queue]) -> None:
+    """Submits a job to each of two queues, whose services have no room."""
     cluster = context.cluster = _Cluster(*queues)
     cluster.pass_time(0.5)
     for job, queue in zip(("0a", "0b"), queues, strict=True):
@@ -308,7 +301,7 @@
 
 @given("jobs of the queues q and r that wait, with priorities {values}")
 def step_priorities(context: Any, values: str) -> None:
-    _submit_to_both(context, priority=values)
+    _submit_to_both(context, _with_fields(priority=values))
 
 
 @when("the priorities become {values}")
@@ -319,7 +312,7 @@
 
 @given("jobs of the queues q and r that wait, with targets of {values} ms")
 def step_targets(context: Any, values: str) -> None:
-    _submit_to_both(context, target_ms=values)
+    _submit_to_both(context, _with_fields(target_ms=values))
 
 
 @when("the targets become {values} ms, and {seconds:d} s pass")
@@ -377,14 +370,8 @@
 
 @given("jobs of two queues of service s that are both named q")
 def step_same_name(context: Any) -> None:
-    queues = (QUEUE, msgspec.structs.replace(OTHER, name=QUEUE.name))
-    cluster = context.cluster = _Cluster(*queues)
-    cluster.pass_time(0.5)
-    for job, queue in zip(("0a", "0b"), queues, strict=True):
-        cluster.submit(
-            STEPS_BY_WORK["an ordinary task"], model.JobId(job), queue
-        )
-    cluster.pass_time(0.5)
+    same_name = msgspec.structs.replace(OTHER, name=QUEUE.name)
+    _submit_to_both(context, (QUEUE, same_name))
 
 
 @when("the queue of {prefix} is sent to t")
--- a/features/support/soak_clients.py
+++ b/features/support/soak_clients.py
@@ -150,6 +150,8 @@
         self.closing = threading.Event()
         self._number = number
         self._random = random.Random(f"client {seed} {number}")
+        # A generator of its own, so that the jobs of a seed stay the same.
+        self._unnamed = random.Random(f"unnamed {seed} {number}")
         self._addresses = addresses
         self._checks = checks
         self._connections = Connections()
@@ -160,10 +162,7 @@
         while not self.closing.wait(
             self._random.uniform(0.2, 1.8) * SUBMISSION_INTERVAL_S
         ):
-            if (
-                random.Random(f"name {self._submitted}").random()
-                < UNNAMED_SHARE
-            ):
+            if self._unnamed.random() < UNNAMED_SHARE:
                 self._submit_unnamed()
             choice = self._random.random()
             if choice < 0.15 and self._jobs:
