Find a job under the path that it was submitted to

But two queues that exchange their names would leave the callers of both without their jobs, as a job was looked up by the name of its queue alone. It also belongs to the queue that has the path that it was submitted to.

3 rows of job_ids.feature.

--- a/features/cluster.feature
+++ b/features/cluster.feature
@@ -134,6 +134,7 @@
       | of queues that change                                   | 0     | jobs keep the queue of their acceptance |
       | of queues that change                                   | 0     | a queue that is renamed is taken for removed |
       | of queues that change                                   | 0     | any name is taken for a job's ID |
+      | of queues that change                                   | 0     | jobs are found in each queue |
       | of queues that change                                   | 0     | stored jobs of any name are placed |
 
   Scenario Outline: The histories detect that <mechanism>
--- a/features/job_ids.feature
+++ b/features/job_ids.feature
@@ -97,6 +97,20 @@
       | /a/   | /b/00000000000000a1   | submit  | before the first one is committed | KEY_REUSED |
       | /a/   | /b/00000000000000a1   | cancel  | before the first one is committed | NO_SUCH_JOB |
 
+  # Guards against a caller who can't reach a job under the path that it was sent to.
+  Scenario Outline: Two queues exchange their names, and a caller sends to <request> a job where it was submitted
+    Given a leader whose jobs have IDs of 16 hexadecimal digits, and the queues /a/ /b/
+    When the path /a/00000000000000a1 is sent to submit a job
+    And the queues exchange their names
+    And the path /a/00000000000000a1 is sent to <request> a job
+    Then that is answered <answer>
+
+    Examples:
+      | request | answer   |
+      | show    | JobView  |
+      | cancel  | Accepted |
+      | submit  | Accepted |
+
   Scenario Outline: Where the settings prescribe no digits, the name <name> is answered <answer>
     Given a leader whose jobs have IDs of 0 hexadecimal digits, and the queues /a/
     When the path /a/<name> is sent to submit a job
--- a/features/steps/cluster_history_steps.py
+++ b/features/steps/cluster_history_steps.py
@@ -22,6 +22,7 @@
 from fulmarrouter import codes
 from fulmarrouter import consensus
 from fulmarrouter import messages
+from fulmarrouter.cluster import admission
 from fulmarrouter.cluster import assignment_limits
 from fulmarrouter.cluster import controller
 from fulmarrouter.cluster import departures
@@ -235,7 +236,7 @@
     return view.acknowledged_end_number
 
 
-def _is_never_gone(*args: Any) -> bool:
+def _is_always_false(*args: Any) -> bool:
     del args
     return False
 
@@ -352,6 +353,11 @@
         _find_by_name,
     ),
     "any name is taken for a job's ID": (model, "is_job_id", _is_always_true),
+    "jobs are found in each queue": (
+        admission,
+        "belongs_to_other_queue",
+        _is_always_false,
+    ),
     "stored jobs of any name are placed": (
         model,
         "has_readable_task_ids",
@@ -376,7 +382,7 @@
     "late reports of workers that are gone are acknowledged": (
         (worker_leases.WorkerLeases, "end_of", _has_ended),
         (departures, "SILENCE_S", 0.0),
-        (departures.Departures, "is_gone", _is_never_gone),
+        (departures.Departures, "is_gone", _is_always_false),
         (run_ends, "acknowledgeable_number", _acknowledge_all),
     ),
 }
--- a/features/steps/job_ids_steps.py
+++ b/features/steps/job_ids_steps.py
@@ -7,6 +7,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from features.steps import filling_steps
 from features.steps import platform_steps
@@ -170,6 +171,23 @@
     _replace_queues(context, "/a/", name="other")
 
 
+@when("the queues exchange their names")
+def step_exchange_names(context: Any) -> None:
+    configuration = context.leader.controller.state.configuration
+    first, second = configuration.queues
+    context.version += 1
+    exchanged = msgspec.structs.replace(
+        configuration,
+        version=context.version,
+        digest="exchanged",
+        queues=(
+            msgspec.structs.replace(first, name=second.name),
+            msgspec.structs.replace(second, name=first.name),
+        ),
+    )
+    _send(context, requests.ReplaceConfiguration(exchanged))
+
+
 @when("its callers send {verb:w} for the job named {name}")
 def step_request_stored(context: Any, verb: str, name: str) -> None:
     configuration = model.Configuration(1, "1", b"", (filling_steps.QUEUE,), ())
--- a/fulmarrouter/cluster/admission.py
+++ b/fulmarrouter/cluster/admission.py
@@ -57,7 +57,7 @@
     if target.job is None:
         return False
     job = state.job_by_id.get(target.job)
-    queue = proposed_queues.get(target.job)
     if job is not None:
-        queue = job.newest_queue.name
-    return queue is not None and queue != target.queue.name
+        return not job_requests.belongs_to(job, target.queue)
+    queue = proposed_queues.get(target.job, target.queue.name)
+    return queue != target.queue.name
--- a/fulmarrouter/cluster/job_requests.py
+++ b/fulmarrouter/cluster/job_requests.py
@@ -76,6 +76,18 @@
     return Target(longest_match, job)
 
 
+def belongs_to(job: state_lib.Job, queue: model.Queue) -> bool:
+    """Whether a job is one of a queue.
+
+    Its caller may go on to use the path that the job was submitted to, so it is
+    one of the queue that has this path now, too.
+    """
+    return job.newest_queue.name == queue.name or (
+        (job.queue.host, job.queue.path_prefix)
+        == (queue.host, queue.path_prefix)
+    )
+
+
 _REFUSAL_BY_REASON = {
     Unresolved.NO_CONFIGURATION: requests.Refused(
         codes.Code.NO_CONFIGURATION, retry_after_ms=1000
@@ -112,7 +124,7 @@
             )
         return requests.Refused(codes.Code.BAD_REQUEST, "the path names no job")
     job = state.job_by_id.get(target.job)
-    if job is not None and job.newest_queue.name != target.queue.name:
+    if job is not None and not belongs_to(job, target.queue):
         return requests.Refused(codes.Code.NO_SUCH_JOB)
     if not isinstance(request, requests.ShowTarget):
         # The queue was added after the request had arrived.
