Let the soak retire a service while jobs wait for it, and unheard workers drain

Now clients go on while the service has no workers, workers that drain may be unheard for up to 2 s before, and more steps are wide.

--- a/features/support/process_soak.py
+++ b/features/support/process_soak.py
@@ -37,6 +37,8 @@
 MOVE_FAULT_SHARE = 0.5
 RESTART_S = 0.05
 SMALL_LIFE_S = 1.5
+# For how long jobs are submitted to a queue whose service has no workers.
+RETIRED_S = 4.0
 # Workers that start again and are cut off soon after: the times between them, until
 # one is back, until it is cut off, and for how long.
 RECUT_INTERVAL_S = (1.5, 4.0)
@@ -47,6 +49,10 @@
 LATE_LEAVE_SHARE = 0.3
 # Time between two workers that are told to leave; half of them aren't answered.
 DRAIN_INTERVAL_S = (0.8, 2.4)
+# Share of them that aren't heard at first, and for how long. More of their runs may end
+# meanwhile than one report lists.
+UNHEARD_DRAIN_SHARE = 0.5
+UNHEARD_DRAIN_S = (0.5, 2.0)
 # Mean times between faults; under few of them more serving tasks are moved.
 NODE_INTERVALS_S = (1.6, 4.0, 8.0)
 WORKER_INTERVALS_S = (1.5, 4.0)
@@ -380,6 +386,9 @@
                 if not candidates:
                     continue
                 life = max(candidates, key=lambda item: len(item.run_by_task))
+                if choice.random() < UNHEARD_DRAIN_SHARE:
+                    silent_s = choice.uniform(*UNHEARD_DRAIN_S)
+                    life.silent_until = now + silent_s
                 life.drain()
                 self._lives.remove(life)
                 self._add_worker(f"{life.name}x", life.service, life.labels)
@@ -399,10 +408,10 @@
         """Lets the faults end and checks that each accepted job ends."""
         for thread in self._threads:
             thread.join()
-        for client in self._clients:
-            client.closing.set()
         self._record.add("faults have ended")
         self._retire_service()
+        for client in self._clients:
+            client.closing.set()
         until = time.monotonic() + END_TIMEOUT_S
         for client in self._clients:
             client.join(max(0.0, until - time.monotonic()))
@@ -414,8 +423,7 @@
         for client in self._clients:
             self._wait_for_jobs(client, until)
         until = time.monotonic() + END_TIMEOUT_S
-        if not self._operator.replace(until, is_last=True):
-            self._add_violation("no configuration acknowledged")
+        self._replace(run_checks.MOVED_QUEUE_SERVICES[0])
         while self._operator.read_version() != self._operator.version:
             if time.monotonic() > until:
                 self._add_violation("CONFIG is older than acknowledged")
@@ -427,14 +435,23 @@
             node.check_at_end()
 
     def _retire_service(self) -> None:
-        """Sends all queues to services that stay, and ends the others' workers."""
-        until = time.monotonic() + END_TIMEOUT_S
-        if not self._operator.replace(until, is_last=True):
-            self._add_violation("no configuration acknowledged")
+        """Ends the workers of a service, and sends its queue elsewhere.
+
+        Clients go on meanwhile, so that jobs wait for these workers.
+        """
+        stays, retires = run_checks.MOVED_QUEUE_SERVICES
+        self._replace(retires)
         for life in list(self._lives):
-            if life.service not in run_checks.SERVICE_BY_QUEUE.values():
+            if life.service == retires:
                 life.crash()
                 self._lives.remove(life)
+        time.sleep(RETIRED_S)
+        self._replace(stays)
+
+    def _replace(self, moved_to: str) -> None:
+        until = time.monotonic() + END_TIMEOUT_S
+        if not self._operator.replace(until, moved_to):
+            self._add_violation("no configuration acknowledged")
 
     def _add_violation(self, rule: str, **fields: object) -> None:
         with self._checks.lock:
--- a/features/support/soak_clients.py
+++ b/features/support/soak_clients.py
@@ -26,8 +26,8 @@
 # Shares of the ordinary jobs that are submitted to queues which change, and that have
 # about as many short tasks as a worker lists ends, or more.
 NESTED_SHARE = 0.15
-MOVED_SHARE = 0.15
-WIDE_SHARE = 0.03
+MOVED_SHARE = 0.3
+WIDE_SHARE = 0.1
 WIDE_COUNTS = (499, 500, 501, 800, 1100)
 # Share of a client's calls that submit a job under a path that names none.
 UNNAMED_SHARE = 0.04
@@ -276,15 +276,16 @@
         self._connections = Connections()
         self._version = 0
 
-    def replace(self, until: float, is_last: bool = False) -> bool:
+    def replace(self, until: float, moved_to: str = "") -> bool:
         """Sends the next configuration; returns whether it was acknowledged.
 
         Args:
             until: When to give up.
-            is_last: Whether it has all queues, and the moved one where it stays.
+            moved_to: Service of the moved queue, with all other queues there; or
+                empty to draw both.
         """
         self._version += self._random.randint(1, 3)
-        body = self._configuration(is_last)
+        body = self._configuration(moved_to)
         path = "/api/config/replace"
         while time.monotonic() < until:
             address = self._random.choice(self._addresses)
@@ -317,16 +318,13 @@
     def version(self) -> int:
         return self._version
 
-    def _configuration(self, is_last: bool) -> dict[str, Any]:
+    def _configuration(self, moved_to: str) -> dict[str, Any]:
         service_by_prefix = dict(run_checks.SERVICE_BY_QUEUE)
-        first, *_ = run_checks.MOVED_QUEUE_SERVICES
-        service_by_prefix[run_checks.MOVED_QUEUE] = (
-            first
-            if is_last
-            else self._random.choice(run_checks.MOVED_QUEUE_SERVICES)
+        service_by_prefix[run_checks.MOVED_QUEUE] = moved_to or (
+            self._random.choice(run_checks.MOVED_QUEUE_SERVICES)
         )
         for prefix in run_checks.NESTED_QUEUES:
-            if is_last or self._random.random() < 0.5:
+            if moved_to or self._random.random() < 0.5:
                 service_by_prefix[prefix] = service_by_prefix["/b/"]
         routes = [
             {
